--- a/cmd/agatestage/main.go
+++ b/cmd/agatestage/main.go
@@ -32,6 +32,8 @@
 type commands struct {
 	Entry   entryCommand   `cmd:"" help:"Run an entry: it faces callers and operators."`
 	Side    sideCommand    `cmd:"" help:"Run a side: the only path to the targets of its host."`
+	Gateway gatewayCommand `cmd:"" help:"Run a gateway: an entry on a platform that lists its targets itself."`
+	Keeper  keeperCommand  `cmd:"" help:"Run a keeper: it answers for the machines with disks on such a platform."`
 	Check   checkCommand   `cmd:"" help:"Check a settings file and print every fault."`
 	Certs   certsCommand   `cmd:"" help:"Make the fleet authority, host certificates and the first operator key."`
 	Plan    planCommand    `cmd:"" help:"State an intent and print the plan of what it would change."`
@@ -77,16 +79,15 @@
 
 // checkCommand checks settings.
 type checkCommand struct {
-	Role     string `enum:"entry,side" required:"" help:"Role that the settings are for: entry or side."`
+	Role     string `enum:"entry,side,gateway,keeper" required:"" help:"Role that the settings are for: entry, side, gateway or keeper."`
 	Settings string `arg:"" type:"existingfile" help:"TOML settings file."`
 }
 
 // Run implements the command.
 func (command *checkCommand) Run() error {
-	role := agatestage.RoleEntry
-	if command.Role == "side" {
-		role = agatestage.RoleSide
-	}
+	role := map[string]agatestage.Role{
+		"entry": agatestage.RoleEntry, "side": agatestage.RoleSide, "gateway": agatestage.RoleGateway, "keeper": agatestage.RoleKeeper,
+	}[command.Role]
 	if _, err := setup.Read(command.Settings, role); err != nil {
 		return err
 	}
--- a/host.go
+++ b/host.go
@@ -12,6 +12,11 @@
 const (
 	RoleEntry Role = "Entry"
 	RoleSide  Role = "Side"
+	// RoleGateway is an entry on a platform that lists its targets itself: it
+	// reaches them without sides and keeps batch jobs in the platform's store.
+	RoleGateway Role = "Gateway"
+	// RoleKeeper answers for the machines with disks on such a platform.
+	RoleKeeper Role = "Keeper"
 )
 
 // Host is one line of the platform's lagging host list.
--- a/internal/base/setup/check.go
+++ b/internal/base/setup/check.go
@@ -41,8 +41,16 @@
 	checker.required("Name", settings.Name)
 	checker.required("Region", settings.Region)
 	checker.required("Zone", settings.Zone)
+	if role == agatestage.RoleKeeper {
+		checker.url("Platform.Store", settings.Platform.Store)
+		return
+	}
 	checker.address("Listen.Peer", settings.Listen.Peer)
 	checker.address("Listen.Metrics", settings.Listen.Metrics)
+	if role == agatestage.RoleGateway {
+		checker.gateway(settings)
+		return
+	}
 	checker.required("Trust.Folder", settings.Trust.Folder)
 	if role == agatestage.RoleEntry {
 		checker.entry(settings)
@@ -68,6 +76,19 @@
 	}
 }
 
+// gateway checks what only a gateway needs.
+func (checker *checker) gateway(settings *Settings) {
+	checker.address("Listen.Caller", settings.Listen.Caller)
+	checker.address("Listen.Ready", settings.Listen.Ready)
+	checker.url("Platform.Store", settings.Platform.Store)
+	if settings.Zones[settings.Zone] != settings.Region {
+		checker.fault("Zones", "zone %q is not in region %q", settings.Zone, settings.Region)
+	}
+	if settings.Drain.Notice.Duration >= settings.Drain.Limit.Duration {
+		checker.fault("Drain.Notice", "must be below Drain.Limit")
+	}
+}
+
 // bounds checks that every bound is usable.
 func (checker *checker) bounds(bounds *Bounds) {
 	checker.positive("Bounds.BodyBytes", bounds.BodyBytes)
--- a/internal/base/setup/settings.go
+++ b/internal/base/setup/settings.go
@@ -41,6 +41,8 @@
 	Bounds     Bounds
 	Drain      Drain
 	Targets    []Target
+	// Zones maps each availability zone to its region; a gateway needs it.
+	Zones map[string]string
 }
 
 // Listen holds the addresses that the process binds.
@@ -52,6 +54,8 @@
 	Caller    netip.AddrPort
 	Admin     netip.AddrPort
 	Metrics   netip.AddrPort
+	// Ready is where a gateway tells the balancer whether it takes callers.
+	Ready netip.AddrPort
 }
 
 // Platform holds the URLs of the platform's services.
--- a/internal/fake/store/store.go
+++ b/internal/fake/store/store.go
@@ -247,6 +247,42 @@
 	return store.revision, store.finish()
 }
 
+// Commit implements agatestage.Transactor.
+func (store *Store) Commit(ctx context.Context, conditions []agatestage.Condition, writes []agatestage.Write) (uint64, error) {
+	if err := store.begin(ctx, &store.counts.Writes); err != nil {
+		return 0, err
+	}
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	store.expire()
+	for _, condition := range conditions {
+		if store.entries[condition.Key].record.Version != condition.Version {
+			return 0, agatestage.ErrConflict
+		}
+	}
+	for _, write := range writes {
+		if _, ok := store.leases[write.Lease]; write.Lease != "" && !ok {
+			return 0, agatestage.ErrNoLease
+		}
+	}
+	for _, write := range writes {
+		if write.Remove {
+			if _, ok := store.entries[write.Key]; ok {
+				store.remove(write.Key)
+			}
+		}
+	}
+	store.revision++
+	for _, write := range writes {
+		if !write.Remove {
+			record := agatestage.Record{Key: write.Key, Value: append([]byte(nil), write.Value...), Version: store.revision}
+			store.entries[write.Key] = entry{record: record, lease: write.Lease}
+		}
+	}
+	store.wake()
+	return store.revision, store.finish()
+}
+
 // Delete implements agatestage.Store.
 func (store *Store) Delete(ctx context.Context, key string, version uint64) error {
 	if err := store.begin(ctx, &store.counts.Writes); err != nil {
--- /dev/null
+++ b/internal/gate/batch/job.go
@@ -0,0 +1,259 @@
+package batch
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"k8s.io/klog/v2"
+
+	"github.com/agatestage/agatestage"
+	"github.com/agatestage/agatestage/internal/base/ticks"
+)
+
+const (
+	// groupTime is how long results are gathered before they are written: a write
+	// costs the store as much as any, and results are due many seconds later.
+	groupTime = 500 * time.Millisecond
+	// commitRetry is the pause after results could not be written.
+	commitRetry = 250 * time.Millisecond
+)
+
+// job is a job that this gateway owns.
+type job struct {
+	manager *Manager
+	items   []Item
+	cancel  context.CancelFunc
+	mutex   sync.Mutex
+	entry   entry
+	// listed holds the results in the store; ready those that wait for it.
+	listed []Result
+	ready  []Result
+	done   map[string]bool
+	// changed is closed when more results are listed or the job has ended.
+	changed chan struct{}
+	wake    chan struct{}
+	stopped bool
+	idle    chan struct{}
+}
+
+func newJob(manager *Manager, owned entry, items []Item, listed []Result) *job {
+	job := &job{
+		manager: manager, entry: owned, items: items, listed: listed, done: make(map[string]bool),
+		changed: make(chan struct{}), wake: make(chan struct{}, 1), idle: make(chan struct{}),
+	}
+	for _, result := range listed {
+		job.done[result.ID] = true
+	}
+	return job
+}
+
+// start runs the items that have no result.
+func (job *job) start() {
+	ctx, cancel := context.WithCancel(job.manager.ctx)
+	job.cancel = cancel
+	var items sync.WaitGroup
+	for i := range job.items {
+		item := &job.items[i]
+		if !job.done[item.ID] {
+			items.Go(func() { job.run(ctx, item) })
+		}
+	}
+	go func() {
+		defer close(job.idle)
+		job.commitAll(ctx)
+		cancel()
+		items.Wait()
+	}()
+}
+
+// finish takes the result of an item.
+func (job *job) finish(result Result) {
+	job.mutex.Lock()
+	defer job.mutex.Unlock()
+	if job.done[result.ID] || job.stopped {
+		return
+	}
+	job.done[result.ID] = true
+	job.ready = append(job.ready, result)
+	select {
+	case job.wake <- struct{}{}:
+	default:
+	}
+}
+
+// commitAll writes results in groups until the job has ended or is stopped.
+func (job *job) commitAll(ctx context.Context) {
+	for {
+		if job.complete() {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-job.wake:
+		}
+		if !job.allDone() {
+			ticks.Wait(ctx, job.manager.clock, groupTime)
+		}
+		for job.waiting() > 0 && ctx.Err() == nil {
+			if err := job.commit(ctx); errors.Is(err, errMoved) {
+				job.stop()
+				return
+			} else if err != nil {
+				klog.InfoS("results not written", "job", job.entry.ID, "results", job.waiting(), "error", err.Error())
+				ticks.Wait(ctx, job.manager.clock, commitRetry)
+			}
+		}
+	}
+}
+
+func (job *job) waiting() int {
+	job.mutex.Lock()
+	defer job.mutex.Unlock()
+	return len(job.ready)
+}
+
+// allDone reports whether every item has a result, listed or not.
+func (job *job) allDone() bool {
+	job.mutex.Lock()
+	defer job.mutex.Unlock()
+	return len(job.done) >= len(job.items)
+}
+
+// complete reports whether every result is listed or the job is over.
+func (job *job) complete() bool {
+	job.mutex.Lock()
+	defer job.mutex.Unlock()
+	return job.stopped || !job.entry.Open() || len(job.listed) >= len(job.items)
+}
+
+// commit writes the results that wait, with the head that counts them.
+func (job *job) commit(ctx context.Context) error {
+	job.mutex.Lock()
+	before, ready := job.entry, slices.Clone(job.ready)
+	job.mutex.Unlock()
+	chunks, err := splitResults(ready)
+	if err != nil {
+		return err
+	}
+	head := before.Head
+	var writes []agatestage.Write
+	for i, chunk := range chunks {
+		writes = append(writes, agatestage.Write{Key: chunkKey(head.ID, head.Chunks+i), Value: chunk})
+	}
+	head.Chunks += len(chunks)
+	head.Results += len(ready)
+	if head.Results >= head.Items {
+		head.State = StateDone
+	}
+	var after entry
+	if after, err = job.manager.vault.write(ctx, before, head, writes...); err != nil {
+		return err
+	}
+	job.mutex.Lock()
+	defer job.mutex.Unlock()
+	job.entry = after
+	job.listed = append(job.listed, ready...)
+	job.ready = job.ready[len(ready):]
+	job.announce()
+	klog.InfoS("results listed", "job", head.ID, "epoch", head.Epoch, "results", head.Results, "items", head.Items, "version", after.version)
+	return nil
+}
+
+// announce wakes those who wait for results; the mutex is held.
+func (job *job) announce() {
+	close(job.changed)
+	job.changed = make(chan struct{})
+}
+
+// stop ends the work on the job without changing its records.
+func (job *job) stop() {
+	job.mutex.Lock()
+	if !job.stopped {
+		job.stopped = true
+		job.announce()
+	}
+	job.mutex.Unlock()
+	job.cancel()
+}
+
+// view returns the job's head, its listed results and a channel that is closed
+// when they change.
+func (job *job) view() (entry, []Result, <-chan struct{}) {
+	job.mutex.Lock()
+	defer job.mutex.Unlock()
+	return job.entry, job.listed, job.changed
+}
+
+// adopt takes a head that has been changed elsewhere. It reports whether this
+// gateway is still the job's owner.
+func (job *job) adopt(seen entry) bool {
+	job.mutex.Lock()
+	defer job.mutex.Unlock()
+	if seen.version <= job.entry.version {
+		return !job.stopped
+	}
+	if seen.Epoch != job.entry.Epoch || seen.Instance != job.manager.instance {
+		return false
+	}
+	if seen.Results != job.entry.Results {
+		// Own results whose write has not been acknowledged here yet.
+		return true
+	}
+	job.entry = seen
+	return seen.Open()
+}
+
+// release writes the results that wait and gives the job to another gateway.
+func (job *job) release(ctx context.Context) {
+	job.cancel()
+	select {
+	case <-job.idle:
+	case <-ctx.Done():
+	}
+	for job.waiting() > 0 && ctx.Err() == nil {
+		if err := job.commit(ctx); errors.Is(err, errMoved) {
+			return
+		} else if err != nil {
+			klog.InfoS("results not written before the stop", "job", job.entry.ID, "error", err.Error())
+			ticks.Wait(ctx, job.manager.clock, commitRetry)
+		}
+	}
+	job.mutex.Lock()
+	before := job.entry
+	job.stopped = true
+	job.mutex.Unlock()
+	if !before.Open() {
+		return
+	}
+	head := before.Head
+	head.Owner, head.Instance = "", ""
+	if _, err := job.manager.vault.write(ctx, before, head); err != nil {
+		klog.InfoS("job not handed over; it is taken over after a while", "job", head.ID, "error", err.Error())
+		return
+	}
+	klog.InfoS("job handed over", "job", head.ID, "results", head.Results, "items", head.Items)
+}
+
+// item returns an item of the job by its ID.
+func itemOf(items []Item, id string) (*Item, bool) {
+	for i := range items {
+		if items[i].ID == id {
+			return &items[i], true
+		}
+	}
+	return nil, false
+}
+
+// headerOf returns an item's header for its call.
+func headerOf(item *Item) map[string][]string {
+	header := make(map[string][]string, len(item.Header))
+	for name, value := range maps.All(item.Header) {
+		header[name] = []string{value}
+	}
+	return header
+}
--- /dev/null
+++ b/internal/gate/batch/manager.go
@@ -0,0 +1,327 @@
+package batch
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
+	"k8s.io/klog/v2"
+
+	"github.com/agatestage/agatestage"
+	"github.com/agatestage/agatestage/internal/base/ticks"
+	"github.com/agatestage/agatestage/internal/gate/relay"
+	"github.com/agatestage/agatestage/internal/gate/rules"
+	"github.com/agatestage/agatestage/internal/state/watch"
+)
+
+const (
+	// headsWait and headsPace set how the heads are followed: a change, such as
+	// the end of a job, is seen within about a second, and a burst of changes
+	// costs one call.
+	headsWait = 1500 * time.Millisecond
+	headsPace = 600 * time.Millisecond
+	// lookPeriod is how often jobs without an owner are looked for.
+	lookPeriod = 300 * time.Millisecond
+	// retainFor is how long a job's records are kept after its submission, which
+	// is more than the two minutes that results must stay readable.
+	retainFor = 5 * time.Minute
+	// sweepPeriod is how often old records are looked for.
+	sweepPeriod = 10 * time.Second
+)
+
+// Gateway is a gateway that may own jobs.
+type Gateway struct {
+	Name     string
+	Instance string
+	Region   string
+}
+
+// Fleet tells which gateways there are.
+type Fleet interface {
+	// Alive returns the gateways that take work, this one included.
+	Alive() []Gateway
+	// Gone reports whether a process of a gateway has certainly ended or lost
+	// its lease.
+	Gone(name, instance string) bool
+	// Silent returns for how long the store has failed.
+	Silent() time.Duration
+}
+
+// Manager accepts jobs and runs those that this gateway owns.
+type Manager struct {
+	name     string
+	instance string
+	region   string
+	clock    agatestage.Clock
+	vault    *vault
+	relay    *relay.Relay
+	rules    *rules.Holder
+	fleet    Fleet
+	failure  func(error)
+
+	fingerprint func(*agatestage.Call) uint64
+	ctx         context.Context
+	stop        context.CancelFunc
+	mutex       sync.Mutex
+	heads       map[string]entry
+	jobs        map[string]*job
+	taking      map[string]bool
+	views       map[string]*view
+	draining    bool
+	// changed is closed when any head changes.
+	changed chan struct{}
+	// heardAt is when the heads were last confirmed by the store.
+	heardAt time.Time
+	ask     Asker
+}
+
+// Option changes how a manager is built.
+type Option func(*Manager)
+
+// WithFailure sets what is called when the store fails.
+func WithFailure(failure func(error)) Option {
+	return func(manager *Manager) { manager.failure = failure }
+}
+
+// WithAsker sets what asks other gateways for the jobs that they own.
+func WithAsker(ask Asker) Option {
+	return func(manager *Manager) { manager.ask = ask }
+}
+
+// New returns the manager of one process of a gateway.
+func New(self Gateway, store agatestage.Transactor, clock agatestage.Clock, relay *relay.Relay, holder *rules.Holder, fleet Fleet, fingerprint func(*agatestage.Call) uint64, options ...Option) *Manager {
+	manager := &Manager{
+		name: self.Name, instance: self.Instance, region: self.Region, clock: clock, vault: &vault{store: store, clock: clock},
+		relay: relay, rules: holder, fleet: fleet, failure: func(error) {}, fingerprint: fingerprint,
+		heads: make(map[string]entry), jobs: make(map[string]*job), taking: make(map[string]bool), views: make(map[string]*view),
+		changed: make(chan struct{}),
+	}
+	manager.ctx, manager.stop = context.WithCancel(context.Background())
+	for _, option := range options {
+		option(manager)
+	}
+	return manager
+}
+
+// String names the service in logs.
+func (manager *Manager) String() string {
+	return "batch jobs"
+}
+
+// Serve follows the heads and takes over jobs until ctx ends.
+func (manager *Manager) Serve(ctx context.Context) error {
+	go func() {
+		// Both end with ctx only.
+		_ = ticks.Every(ctx, manager.clock, lookPeriod, manager.look)
+	}()
+	go func() { _ = ticks.Every(ctx, manager.clock, sweepPeriod, manager.sweep) }()
+	return watch.Follow(ctx, manager.vault.store, manager.clock, headPrefix, func(_ context.Context, records []agatestage.Record, whole bool) error {
+		manager.follow(records, whole)
+		return nil
+	}, watch.WithWait(headsWait), watch.WithPace(headsPace), watch.WithFailure(manager.failure))
+}
+
+// follow takes heads that have changed, or all of them.
+func (manager *Manager) follow(records []agatestage.Record, whole bool) {
+	manager.mutex.Lock()
+	manager.heardAt = manager.clock.Now()
+	var lost []*job
+	if whole {
+		manager.dropUnlisted(records)
+	}
+	for _, record := range records {
+		if record.Deleted {
+			delete(manager.heads, record.Key[len(headPrefix):])
+			continue
+		}
+		seen, err := decodeEntry(record)
+		if err != nil {
+			klog.ErrorS(err, "job head is not readable", "key", record.Key)
+			continue
+		}
+		if owned := manager.keep(seen); owned != nil && !owned.adopt(seen) {
+			lost = append(lost, owned)
+		}
+	}
+	if whole || len(records) > 0 {
+		close(manager.changed)
+		manager.changed = make(chan struct{})
+	}
+	manager.mutex.Unlock()
+	for _, owned := range lost {
+		klog.InfoS("job is no longer run here", "job", owned.entry.ID, "epoch", owned.entry.Epoch)
+		owned.stop()
+	}
+}
+
+// dropUnlisted forgets heads that were deleted while the store wasn't heard.
+func (manager *Manager) dropUnlisted(records []agatestage.Record) {
+	there := make(map[string]bool, len(records))
+	for _, record := range records {
+		there[record.Key[len(headPrefix):]] = true
+	}
+	for id := range manager.heads {
+		if !there[id] {
+			delete(manager.heads, id)
+		}
+	}
+}
+
+// keep remembers a head and returns the job that runs here, if it does. The
+// mutex is held.
+func (manager *Manager) keep(seen entry) *job {
+	if seen.version >= manager.heads[seen.ID].version {
+		manager.heads[seen.ID] = seen
+	}
+	return manager.jobs[seen.ID]
+}
+
+// look takes over the jobs that nobody runs.
+func (manager *Manager) look(ctx context.Context) {
+	if manager.fleet.Silent() > 0 {
+		return
+	}
+	alive := manager.fleet.Alive()
+	manager.mutex.Lock()
+	var orphans []entry
+	for id, head := range manager.heads {
+		if owned := manager.jobs[id]; owned != nil && owned.over() {
+			delete(manager.jobs, id)
+		}
+		if head.Open() && manager.jobs[id] == nil && !manager.taking[id] && !manager.draining && manager.mine(head, alive) {
+			manager.taking[id] = true
+			orphans = append(orphans, head)
+		}
+	}
+	manager.mutex.Unlock()
+	for _, orphan := range orphans {
+		go manager.take(ctx, orphan)
+	}
+}
+
+// over reports whether nothing is left to do on the job here.
+func (job *job) over() bool {
+	select {
+	case <-job.idle:
+		return true
+	default:
+		return false
+	}
+}
+
+// mine reports whether this gateway is the one to take the job over.
+func (manager *Manager) mine(head entry, alive []Gateway) bool {
+	if head.Instance == manager.instance {
+		return true
+	}
+	if head.Owner != "" && !manager.fleet.Gone(head.Owner, head.Instance) {
+		return false
+	}
+	near := slices.DeleteFunc(slices.Clone(alive), func(gateway Gateway) bool { return gateway.Region != head.Region })
+	if len(near) == 0 {
+		near = alive
+	}
+	if len(near) == 0 {
+		return false
+	}
+	heir := slices.MaxFunc(near, func(a, b Gateway) int {
+		return cmp.Compare(xxhash.Sum64String(a.Name+"/"+head.ID), xxhash.Sum64String(b.Name+"/"+head.ID))
+	})
+	return heir.Name == manager.name
+}
+
+// take makes this gateway the owner of a job and goes on with it.
+func (manager *Manager) take(ctx context.Context, orphan entry) {
+	defer func() {
+		manager.mutex.Lock()
+		defer manager.mutex.Unlock()
+		delete(manager.taking, orphan.ID)
+	}()
+	head := orphan.Head
+	head.Owner, head.Instance, head.Epoch = manager.name, manager.instance, head.Epoch+1
+	taken, err := manager.vault.write(ctx, orphan, head)
+	if errors.Is(err, errMoved) {
+		manager.refetch(ctx, head.ID)
+		return
+	}
+	if err != nil {
+		klog.InfoS("job not taken over", "job", head.ID, "error", err.Error())
+		return
+	}
+	var items []Item
+	var listed []Result
+	if items, err = manager.vault.items(ctx, head); err == nil {
+		listed, err = manager.vault.results(ctx, head, 0)
+	}
+	manager.mutex.Lock()
+	defer manager.mutex.Unlock()
+	manager.keep(taken)
+	if err != nil {
+		// The head names this process, so the next look tries again.
+		klog.InfoS("job taken over but not read", "job", head.ID, "error", err.Error())
+		return
+	}
+	klog.InfoS("job taken over", "job", head.ID, "from", orphan.Owner, "epoch", head.Epoch, "results", head.Results, "items", head.Items)
+	manager.begin(taken, items, listed)
+}
+
+// refetch reads a head that has been changed elsewhere.
+func (manager *Manager) refetch(ctx context.Context, id string) {
+	seen, err := manager.vault.head(ctx, id)
+	if err != nil {
+		klog.V(1).InfoS("job head not read", "job", id, "error", err.Error())
+		return
+	}
+	manager.mutex.Lock()
+	defer manager.mutex.Unlock()
+	manager.keep(seen)
+}
+
+// begin runs a job that this gateway owns; the mutex is held.
+func (manager *Manager) begin(owned entry, items []Item, listed []Result) {
+	job := newJob(manager, owned, items, listed)
+	manager.jobs[owned.ID] = job
+	job.start()
+}
+
+// Drain stops the work on all jobs and gives them to other gateways.
+func (manager *Manager) Drain(ctx context.Context) {
+	manager.mutex.Lock()
+	manager.draining = true
+	jobs := manager.jobs
+	manager.jobs = make(map[string]*job)
+	manager.mutex.Unlock()
+	var releases sync.WaitGroup
+	for _, owned := range jobs {
+		releases.Go(func() { owned.release(ctx) })
+	}
+	releases.Wait()
+	manager.stop()
+}
+
+// sweep deletes the records of jobs that are no longer kept, one by one.
+func (manager *Manager) sweep(ctx context.Context) {
+	if manager.fleet.Silent() > 0 {
+		return
+	}
+	now := manager.clock.Now()
+	manager.mutex.Lock()
+	var old []entry
+	for id, head := range manager.heads {
+		if manager.jobs[id] == nil && !head.Open() && now.Sub(head.Submitted) > retainFor && manager.mine(head, manager.fleet.Alive()) {
+			old = append(old, head)
+		}
+	}
+	manager.mutex.Unlock()
+	for _, head := range old {
+		if err := manager.vault.remove(ctx, head); err != nil {
+			klog.InfoS("old job not removed", "job", head.ID, "error", err.Error())
+			return
+		}
+		klog.InfoS("old job removed", "job", head.ID, "submitted", head.Submitted)
+	}
+}
--- /dev/null
+++ b/internal/gate/batch/run.go
@@ -0,0 +1,156 @@
+package batch
+
+import (
+	"bytes"
+	"context"
+	"net/http"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/agatestage/agatestage"
+	"github.com/agatestage/agatestage/internal/base/ticks"
+	"github.com/agatestage/agatestage/internal/gate/relay"
+	"github.com/agatestage/agatestage/internal/gate/rules"
+)
+
+const (
+	// runTime bounds one run of an item; a run that is cut goes on from its last
+	// event in the next.
+	runTime = 60 * time.Second
+	// firstEvent is how long a target may take to an item's first event before the
+	// item is tried elsewhere. A full batch of prompts is read in a tenth of it.
+	firstEvent = 1500 * time.Millisecond
+	// retryPause is the time between two runs of an item that a target failed
+	// or turned away; it doubles up to retryPauseMost.
+	retryPause     = 200 * time.Millisecond
+	retryPauseMost = 3 * time.Second
+	// endlessRuns is how many runs may fail without a word from the target before
+	// the item waits for retryPauseMost each time.
+	endlessRuns = 4
+	// clockMargin is how much later than GiveUp an item is given up, as hosts'
+	// clocks differ by seconds.
+	clockMargin = 4 * time.Second
+)
+
+// attempts is what the runs of one item came to.
+type attempts struct {
+	failed int
+	broken int
+}
+
+// run runs one item until it has a result or ctx ends.
+func (job *job) run(ctx context.Context, item *Item) {
+	sink := &collector{}
+	var tries attempts
+	for ctx.Err() == nil {
+		route, ok := job.route()
+		if !ok {
+			klog.InfoS("item given up", "job", job.entry.ID, "item", item.ID, "reason", "its route is gone")
+			job.finish(Result{ID: item.ID, Failed: true})
+			return
+		}
+		result := job.send(ctx, item, route, sink)
+		if ctx.Err() != nil {
+			return
+		}
+		if end, ok := job.judge(item, route, sink, &result, &tries); ok {
+			job.finish(end)
+			return
+		}
+		if !result.Yielded {
+			ticks.Wait(ctx, job.manager.clock, min(retryPauseMost, retryPause<<min(endlessRuns, tries.failed+tries.broken)))
+		}
+	}
+}
+
+// route returns the job's route as it is now.
+func (job *job) route() (*rules.Route, bool) {
+	snapshot := job.manager.rules.Current()
+	if snapshot == nil {
+		return nil, false
+	}
+	return snapshot.Route(job.entry.Route)
+}
+
+// send runs the item once, from where it was cut before.
+func (job *job) send(ctx context.Context, item *Item, route *rules.Route, sink *collector) relay.Result {
+	call := &agatestage.Call{
+		ID: item.ID, Organisation: job.entry.Organisation, Service: route.Service(item.ID), Method: http.MethodPost,
+		Host: route.Host, Path: item.Path, Header: headerOf(item), Body: item.Body, Idempotent: true, Batch: true,
+	}
+	call.Fingerprint = job.manager.fingerprint(call)
+	now := job.manager.clock.Now()
+	return job.manager.relay.Serve(ctx, call, relay.Plan{
+		Service: call.Service, Repeatable: true, Attempts: 1, Stream: true, Resumable: true, Batch: true,
+		Aim: firstEvent, Gap: route.Gap, Deadline: now.Add(runTime), Due: job.entry.Due, After: sink.last(),
+	}, sink)
+}
+
+// judge decides what a run means for its item. It returns the item's result, if
+// it has one now.
+func (job *job) judge(item *Item, route *rules.Route, sink *collector, run *relay.Result, tries *attempts) (Result, bool) {
+	sink.number = max(sink.number, run.Last)
+	switch {
+	case run.Refusal == nil && run.Status == http.StatusOK:
+		return Result{ID: item.ID, Output: sink.output()}, true
+	case run.Refusal == nil && run.Status == http.StatusUnprocessableEntity:
+		klog.InfoS("item can't be done", "job", job.entry.ID, "item", item.ID, "status", run.Status)
+		return Result{ID: item.ID, Failed: true}, true
+	case run.Refusal == nil && run.Status == http.StatusInternalServerError:
+		tries.failed++
+	case run.Yielded:
+		return Result{}, false
+	default:
+		tries.broken++
+	}
+	klog.V(1).InfoS("item run failed", "job", job.entry.ID, "item", item.ID, "status", run.Status, "failed", tries.failed, "broken", tries.broken, "after", run.Last)
+	if tries.failed >= route.Attempts {
+		klog.InfoS("item given up", "job", job.entry.ID, "item", item.ID, "failed", tries.failed)
+		return Result{ID: item.ID, Failed: true}, true
+	}
+	if job.manager.clock.Now().After(job.entry.GiveUp.Add(clockMargin)) {
+		klog.InfoS("item given up", "job", job.entry.ID, "item", item.ID, "reason", "its time is over")
+		return Result{ID: item.ID, Failed: true}, true
+	}
+	return Result{}, false
+}
+
+// collector gathers the data of an item's events over all its runs.
+type collector struct {
+	text   [][]byte
+	number int64
+	status int
+}
+
+// last returns the number of the last event that was gathered.
+func (collector *collector) last() int64 {
+	return collector.number
+}
+
+// Head implements relay.Sink.
+func (collector *collector) Head(status int, _ http.Header, _ int) error {
+	collector.status = status
+	return nil
+}
+
+// Data implements relay.Sink. It is given whole events.
+func (collector *collector) Data(data []byte) error {
+	if collector.status != http.StatusOK {
+		return nil
+	}
+	for line := range bytes.Lines(data) {
+		value, ok := bytes.CutPrefix(line, []byte("data:"))
+		if !ok {
+			continue
+		}
+		value = bytes.TrimSuffix(bytes.TrimSuffix(value, []byte("\n")), []byte("\r"))
+		collector.text = append(collector.text, bytes.Clone(bytes.TrimPrefix(value, []byte(" "))))
+	}
+	return nil
+}
+
+// output returns the data of all events, one a line.
+func (collector *collector) output() []byte {
+	return bytes.Join(collector.text, []byte("\n"))
+}
--- /dev/null
+++ b/internal/gate/gossip/gossip.go
@@ -0,0 +1,409 @@
+// Package gossip is what gateways tell one another: the calls that each has at
+// the targets, the version of the configuration, and the requests that take
+// targets down.
+//
+// Everything told is soft: it is sent again soon, and a gateway that isn't heard
+// for a while counts as gone. A gateway to which the store is silent takes the
+// configuration and the list of targets from one that hears it.
+package gossip
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"k8s.io/klog/v2"
+
+	"github.com/agatestage/agatestage"
+	"github.com/agatestage/agatestage/internal/base/ticks"
+	"github.com/agatestage/agatestage/internal/gate/sched"
+	"github.com/agatestage/agatestage/internal/route/blame"
+	"github.com/agatestage/agatestage/internal/state/member"
+	"github.com/agatestage/agatestage/internal/trust/certs"
+	"github.com/agatestage/agatestage/internal/wire/link"
+)
+
+// The kinds of exchanges between gateways.
+const (
+	KindState  = "GatewayState"
+	KindConfig = "GatewayConfig"
+	KindList   = "GatewayTargets"
+	KindStrike = "GatewayStrike"
+)
+
+const (
+	// nearPeriod is the time between two messages to a gateway of the same
+	// region, which shares targets; farPeriod that to the others.
+	nearPeriod = 100 * time.Millisecond
+	farPeriod  = 500 * time.Millisecond
+	// askTimeout bounds one exchange.
+	askTimeout = 500 * time.Millisecond
+	// aliveFor is how long a gateway counts as alive after it was heard.
+	aliveFor = 1500 * time.Millisecond
+	// forgetAfter is how long a gateway that isn't a member is still asked.
+	forgetAfter = 15 * time.Second
+	// goneAfter is how long a gateway that isn't a member must have been silent
+	// before its work is taken over.
+	goneAfter = 2500 * time.Millisecond
+	// silentFor is how long the store must have failed before its records are
+	// taken from another gateway.
+	silentFor = 400 * time.Millisecond
+	// strikeTries is how often a strike is told to a gateway that doesn't answer.
+	strikeTries = 3
+)
+
+// State is what a gateway tells.
+type State struct {
+	Name string
+	// Instance is the gateway's process.
+	Instance string
+	Region   string
+	Zone     string
+	Version  uint64
+	// Hears says that the store answers this gateway.
+	Hears bool
+	// Leaving gateways take no new work.
+	Leaving bool
+	Held    map[string]sched.Held
+}
+
+// Source is what a gateway tells of itself and takes from others.
+type Source interface {
+	// Held returns the calls that it has at each target, Hear takes another's.
+	Held() map[string]sched.Held
+	Hear(gateway string, held map[string]sched.Held)
+	// Version returns the version of the configuration in force.
+	Version() uint64
+	// Silent returns for how long the store has failed here.
+	Silent() time.Duration
+	// Config returns the configuration as operators wrote it; OfferConfig takes
+	// another gateway's.
+	Config() []byte
+	OfferConfig(data []byte)
+	// Targets returns the records of the list of targets; OfferTargets takes
+	// another gateway's.
+	Targets() []agatestage.Record
+	OfferTargets(records []agatestage.Record)
+	// Strike takes a strike that another gateway has seen.
+	Strike(strike blame.Strike)
+	// Changed is called when the gateways that are alive have changed.
+	Changed()
+}
+
+// peer is what is known of another gateway.
+type peer struct {
+	member member.Member
+	state  State
+	heard  time.Time
+}
+
+// Mesh talks to the other gateways.
+type Mesh struct {
+	node     *link.Node
+	roster   *member.Roster
+	instance string
+	clock    agatestage.Clock
+	source   Source
+	mutex    sync.Mutex
+	peers    map[string]*peer
+	alive    string
+	leaving  bool
+	asking   map[string]bool
+}
+
+// New returns the mesh of one process and registers its exchanges.
+func New(node *link.Node, roster *member.Roster, instance string, clock agatestage.Clock, source Source) *Mesh {
+	mesh := &Mesh{node: node, roster: roster, instance: instance, clock: clock, source: source, peers: make(map[string]*peer), asking: make(map[string]bool)}
+	node.Handle(KindState, mesh.serveState)
+	node.Handle(KindConfig, mesh.serveConfig)
+	node.Handle(KindList, mesh.serveTargets)
+	node.Handle(KindStrike, mesh.serveStrike)
+	return mesh
+}
+
+// Serve talks until ctx ends.
+func (mesh *Mesh) Serve(ctx context.Context) error {
+	round := 0
+	return ticks.Every(ctx, mesh.clock, nearPeriod, func(ctx context.Context) {
+		mesh.refresh()
+		far := round%int(farPeriod/nearPeriod) == 0
+		round++
+		for _, other := range mesh.others() {
+			if far || other.Region == mesh.roster.Self().Region {
+				mesh.tell(ctx, other)
+			}
+		}
+	})
+}
+
+// String names the service in logs.
+func (mesh *Mesh) String() string {
+	return "gateway mesh"
+}
+
+// Leave tells the others that this gateway takes no new work.
+func (mesh *Mesh) Leave() {
+	mesh.mutex.Lock()
+	defer mesh.mutex.Unlock()
+	mesh.leaving = true
+}
+
+// refresh takes the members of the store and drops gateways that are long gone.
+func (mesh *Mesh) refresh() {
+	members := mesh.roster.Members()
+	mesh.mutex.Lock()
+	now := mesh.clock.Now()
+	for name, listed := range members {
+		if name == mesh.roster.Self().Name {
+			continue
+		}
+		known := mesh.peers[name]
+		if known == nil {
+			known = &peer{heard: now.Add(-aliveFor)}
+			mesh.peers[name] = known
+		}
+		if known.member.Address != listed.Address {
+			known.member = listed
+		}
+	}
+	for name, known := range mesh.peers {
+		if _, listed := members[name]; !listed && now.Sub(known.heard) > forgetAfter {
+			delete(mesh.peers, name)
+		}
+	}
+	changed := mesh.alive != mesh.fingerprint(now)
+	mesh.alive = mesh.fingerprint(now)
+	mesh.mutex.Unlock()
+	if changed {
+		mesh.source.Changed()
+	}
+}
+
+// fingerprint identifies the set of gateways that are alive; the mutex is held.
+func (mesh *Mesh) fingerprint(now time.Time) (print string) {
+	for _, state := range mesh.states(now) {
+		print += state.Name + "\n"
+	}
+	return print
+}
+
+// others returns the gateways to talk to.
+func (mesh *Mesh) others() (members []member.Member) {
+	mesh.mutex.Lock()
+	defer mesh.mutex.Unlock()
+	for _, known := range mesh.peers {
+		members = append(members, known.member)
+	}
+	return members
+}
+
+// own returns what this gateway tells.
+func (mesh *Mesh) own() State {
+	mesh.mutex.Lock()
+	leaving := mesh.leaving
+	mesh.mutex.Unlock()
+	self := mesh.roster.Self()
+	return State{
+		Name: self.Name, Instance: mesh.instance, Region: self.Region, Zone: self.Zone, Version: mesh.source.Version(),
+		Hears: mesh.source.Silent() == 0, Leaving: leaving, Held: mesh.source.Held(),
+	}
+}
+
+// tell sends this gateway's state to another and takes the other's, unless an
+// exchange with it is still on its way.
+func (mesh *Mesh) tell(ctx context.Context, to member.Member) {
+	mesh.mutex.Lock()
+	busy := mesh.asking[to.Name]
+	mesh.asking[to.Name] = true
+	mesh.mutex.Unlock()
+	if busy {
+		return
+	}
+	go func() {
+		defer func() {
+			mesh.mutex.Lock()
+			defer mesh.mutex.Unlock()
+			delete(mesh.asking, to.Name)
+		}()
+		ctx, cancel := context.WithTimeout(ctx, askTimeout)
+		defer cancel()
+		var reply State
+		if err := mesh.node.Ask(ctx, to.Address, KindState, mesh.own(), &reply); err != nil {
+			klog.V(2).InfoS("gateway not heard", "gateway", to.Name, "error", err.Error())
+			return
+		}
+		mesh.hear(reply)
+		mesh.catchUp(ctx, to, reply)
+	}()
+}
+
+// hear takes another gateway's state.
+func (mesh *Mesh) hear(state State) {
+	mesh.mutex.Lock()
+	known := mesh.peers[state.Name]
+	if known != nil {
+		known.state, known.heard = state, mesh.clock.Now()
+	}
+	mesh.mutex.Unlock()
+	if known != nil {
+		mesh.source.Hear(state.Name, state.Held)
+	}
+}
+
+// catchUp takes what the other knows and this gateway can't learn from the store.
+func (mesh *Mesh) catchUp(ctx context.Context, from member.Member, state State) {
+	if state.Version > mesh.source.Version() {
+		var data []byte
+		if err := mesh.node.Ask(ctx, from.Address, KindConfig, mesh.source.Version(), &data); err != nil {
+			klog.InfoS("newer configuration not received", "gateway", from.Name, "version", state.Version, "error", err.Error())
+		} else if len(data) > 0 {
+			mesh.source.OfferConfig(data)
+		}
+	}
+	if !state.Hears || mesh.source.Silent() < silentFor {
+		return
+	}
+	var records []agatestage.Record
+	if err := mesh.node.Ask(ctx, from.Address, KindList, "", &records); err != nil {
+		klog.V(1).InfoS("list of targets not received", "gateway", from.Name, "error", err.Error())
+		return
+	}
+	mesh.source.OfferTargets(records)
+}
+
+// Alive returns the states of the gateways that are alive, this one included.
+func (mesh *Mesh) Alive() []State {
+	own := mesh.own()
+	mesh.mutex.Lock()
+	defer mesh.mutex.Unlock()
+	return append(mesh.states(mesh.clock.Now()), own)
+}
+
+// states returns the states of the other gateways that are alive, by name; the
+// mutex is held.
+func (mesh *Mesh) states(now time.Time) (states []State) {
+	for _, known := range mesh.peers {
+		if now.Sub(known.heard) < aliveFor && known.state.Name != "" && !known.state.Leaving {
+			states = append(states, known.state)
+		}
+	}
+	sortStates(states)
+	return states
+}
+
+// Gone reports whether a process of a gateway has ended, as another of that
+// gateway runs, or can't act any more, as it is neither a member nor heard.
+func (mesh *Mesh) Gone(name, instance string) bool {
+	if name == mesh.roster.Self().Name {
+		return instance != mesh.instance
+	}
+	_, listed := mesh.roster.Members()[name]
+	mesh.mutex.Lock()
+	defer mesh.mutex.Unlock()
+	known := mesh.peers[name]
+	if known == nil || known.state.Name == "" {
+		return !listed
+	}
+	silent := mesh.clock.Since(known.heard)
+	if silent < aliveFor {
+		return known.state.Instance != instance
+	}
+	return !listed && silent > goneAfter
+}
+
+// Hosts lists the gateways that are members or were heard lately.
+func (mesh *Mesh) Hosts() (hosts []agatestage.Host) {
+	mesh.mutex.Lock()
+	defer mesh.mutex.Unlock()
+	self := mesh.roster.Self()
+	hosts = append(hosts, agatestage.Host{Name: self.Name, Role: agatestage.RoleEntry, Region: self.Region, Zone: self.Zone, Address: self.Address})
+	for name, known := range mesh.peers {
+		hosts = append(hosts, agatestage.Host{
+			Name: name, Role: agatestage.RoleEntry, Region: known.member.Region, Zone: known.member.Zone, Address: known.member.Address,
+		})
+	}
+	return hosts
+}
+
+// Address returns where a gateway listens.
+func (mesh *Mesh) Address(name string) (address netip.AddrPort, ok bool) {
+	mesh.mutex.Lock()
+	defer mesh.mutex.Unlock()
+	known := mesh.peers[name]
+	if known == nil {
+		return address, false
+	}
+	return known.member.Address, true
+}
+
+// Fresh reports whether a gateway that hears the store was heard lately and
+// knows no newer configuration than this one.
+func (mesh *Mesh) Fresh() bool {
+	version := mesh.source.Version()
+	mesh.mutex.Lock()
+	defer mesh.mutex.Unlock()
+	now := mesh.clock.Now()
+	for _, known := range mesh.peers {
+		if now.Sub(known.heard) < aliveFor && known.state.Hears && known.state.Version <= version {
+			return true
+		}
+	}
+	return false
+}
+
+// Tell tells all gateways of a strike.
+func (mesh *Mesh) Tell(strike blame.Strike) {
+	for _, other := range mesh.others() {
+		go func() {
+			for range strikeTries {
+				ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
+				var taken bool
+				err := mesh.node.Ask(ctx, other.Address, KindStrike, strike, &taken)
+				cancel()
+				if err == nil {
+					return
+				}
+				klog.V(1).InfoS("strike not told", "gateway", other.Name, "error", err.Error())
+			}
+		}()
+	}
+}
+
+func (mesh *Mesh) serveState(_ context.Context, from certs.Identity, stream *link.Stream) error {
+	var state State
+	if err := stream.Receive(&state); err != nil {
+		return err
+	}
+	if from.Host != state.Name {
+		return errors.Errorf("%s speaks as %s", from.Host, state.Name)
+	}
+	mesh.hear(state)
+	return stream.Send(mesh.own())
+}
+
+func (mesh *Mesh) serveConfig(_ context.Context, _ certs.Identity, stream *link.Stream) error {
+	var version uint64
+	if err := stream.Receive(&version); err != nil {
+		return err
+	}
+	return stream.Send(mesh.source.Config())
+}
+
+func (mesh *Mesh) serveTargets(_ context.Context, _ certs.Identity, stream *link.Stream) error {
+	var nothing string
+	if err := stream.Receive(&nothing); err != nil {
+		return err
+	}
+	return stream.Send(mesh.source.Targets())
+}
+
+func (mesh *Mesh) serveStrike(_ context.Context, _ certs.Identity, stream *link.Stream) error {
+	var strike blame.Strike
+	if err := stream.Receive(&strike); err != nil {
+		return err
+	}
+	mesh.source.Strike(strike)
+	return stream.Send(true)
+}
--- /dev/null
+++ b/internal/gate/sched/sched.go
@@ -0,0 +1,356 @@
+// Package sched decides which call runs where and when, at one gateway.
+//
+// Targets run a number of calls at once, their slots, in order of arrival and
+// without priorities; so the order is made here. Online calls take a free slot
+// near by, then one in the region, then that of a batch call of this gateway,
+// which gives way at once, then any other. Only if there is none they wait, by
+// priority and age, and only if the wait is likely to be worth it; otherwise
+// they are refused at once with the time after which a slot should be free.
+// Batch calls take slots that online calls leave.
+//
+// Each target is the home of one gateway, whose batch calls fill it. Others use
+// it only while it has slots to spare, by what gateways tell one another.
+package sched
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/agatestage/agatestage"
+)
+
+const (
+	// staleMargin is how many slots must be free at a target that isn't this
+	// gateway's home, as the others' counts are some hundred milliseconds old.
+	staleMargin = 2
+	// spareMargin is the same for batch calls, which must leave room for the
+	// online calls of the target's own gateway.
+	spareMargin = 4
+	// reserved is how many slots batch calls leave free over all homes, for
+	// online calls that arrive while none is given back.
+	reserved = 1
+	// holdWeight is the weight of one call in the mean time that a slot is held.
+	holdWeight = 0.05
+	// defaultHold is that mean before the first call has ended.
+	defaultHold = 500 * time.Millisecond
+	// minRetryAfter is the shortest time after which a refused caller is told to
+	// come back: below it, the refusal and the new connection take as long.
+	minRetryAfter = 50 * time.Millisecond
+)
+
+// Ask is what a call needs.
+type Ask struct {
+	Service  string
+	Batch    bool
+	Priority int
+	// Patience is how long the call may wait for a slot.
+	Patience time.Duration
+	// Exclude holds the IDs of targets that must not be used again.
+	Exclude []string
+	// Due orders batch calls.
+	Due time.Time
+}
+
+// Ticket is the right to run one call at a target.
+type Ticket struct {
+	Target agatestage.Endpoint
+	Batch  bool
+
+	scheduler *Scheduler
+	began     time.Time
+	yield     chan struct{}
+	yielded   bool
+	once      sync.Once
+}
+
+// waiter is a call without a slot.
+type waiter struct {
+	ask    Ask
+	since  time.Time
+	ticket chan *Ticket
+}
+
+// service is what is known of a group of targets.
+type service struct {
+	targets []*target
+	online  []*waiter
+	batch   []*waiter
+	// hold is the smoothed time that an online call holds a slot.
+	hold time.Duration
+}
+
+// Scheduler schedules the calls of one gateway.
+type Scheduler struct {
+	clock    agatestage.Clock
+	region   string
+	zone     string
+	mutex    sync.Mutex
+	services map[string]*service
+	targets  map[string]*target
+	homes    map[string]bool
+	onDown   func(agatestage.Endpoint)
+	onGone   func(agatestage.Endpoint)
+}
+
+// Option changes how a scheduler is built.
+type Option func(*Scheduler)
+
+// WithDown sets what is called, outside any lock, when a target can't be
+// reached, so that somebody looks after it.
+func WithDown(down func(agatestage.Endpoint)) Option {
+	return func(scheduler *Scheduler) { scheduler.onDown = down }
+}
+
+// WithGone sets what is called, outside any lock, when a target has left.
+func WithGone(gone func(agatestage.Endpoint)) Option {
+	return func(scheduler *Scheduler) { scheduler.onGone = gone }
+}
+
+// New returns a scheduler without targets.
+func New(clock agatestage.Clock, region, zone string, options ...Option) *Scheduler {
+	scheduler := &Scheduler{
+		clock: clock, region: region, zone: zone,
+		services: make(map[string]*service), targets: make(map[string]*target), homes: make(map[string]bool),
+		onDown: func(agatestage.Endpoint) {}, onGone: func(agatestage.Endpoint) {},
+	}
+	for _, option := range options {
+		option(scheduler)
+	}
+	return scheduler
+}
+
+// Apply replaces the list of targets. Calls on targets that have left go on.
+func (scheduler *Scheduler) Apply(endpoints []agatestage.Endpoint) {
+	scheduler.mutex.Lock()
+	before := scheduler.targets
+	scheduler.targets = make(map[string]*target, len(endpoints))
+	for _, entry := range scheduler.services {
+		entry.targets = nil
+	}
+	for _, endpoint := range endpoints {
+		known := before[endpoint.ID]
+		if known == nil || known.Address != endpoint.Address || !known.Started.Equal(endpoint.Started) || known.Service != endpoint.Service {
+			known = &target{remote: make(map[string]remote)}
+		}
+		known.Endpoint = endpoint
+		known.tier, known.home = scheduler.tierOf(endpoint), scheduler.homes[endpoint.ID]
+		scheduler.targets[endpoint.ID] = known
+		entry := scheduler.service(endpoint.Service)
+		entry.targets = append(entry.targets, known)
+	}
+	var gone []agatestage.Endpoint
+	for id, target := range before {
+		if scheduler.targets[id] != target {
+			gone = append(gone, target.Endpoint)
+		}
+	}
+	scheduler.dispatchAll()
+	scheduler.mutex.Unlock()
+	for _, endpoint := range gone {
+		scheduler.onGone(endpoint)
+	}
+}
+
+// SetHomes names the targets whose batch work is this gateway's.
+func (scheduler *Scheduler) SetHomes(homes map[string]bool) {
+	scheduler.mutex.Lock()
+	defer scheduler.mutex.Unlock()
+	scheduler.homes = homes
+	for id, target := range scheduler.targets {
+		target.home = homes[id]
+	}
+	scheduler.dispatchAll()
+}
+
+func (scheduler *Scheduler) tierOf(endpoint agatestage.Endpoint) tier {
+	switch {
+	case endpoint.Zone == scheduler.zone:
+		return tierZone
+	case endpoint.Region == scheduler.region:
+		return tierRegion
+	}
+	return tierRemote
+}
+
+func (scheduler *Scheduler) service(name string) *service {
+	entry := scheduler.services[name]
+	if entry == nil {
+		entry = &service{hold: defaultHold}
+		scheduler.services[name] = entry
+	}
+	return entry
+}
+
+// Known reports whether the service has any target that isn't leaving.
+func (scheduler *Scheduler) Known(name string) bool {
+	scheduler.mutex.Lock()
+	defer scheduler.mutex.Unlock()
+	entry := scheduler.services[name]
+	return entry != nil && slices.ContainsFunc(entry.targets, func(target *target) bool { return !target.Draining })
+}
+
+// Acquire gives the call a slot, now or within its patience. Its error is a
+// *agatestage.Refusal with RanNo.
+func (scheduler *Scheduler) Acquire(ctx context.Context, ask Ask) (*Ticket, error) {
+	scheduler.mutex.Lock()
+	now := scheduler.clock.Now()
+	entry := scheduler.service(ask.Service)
+	if queued := entry.queue(ask.Batch); ask.Batch || !queued.before(ask) {
+		if ticket := scheduler.place(entry, ask, now); ticket != nil {
+			scheduler.mutex.Unlock()
+			return ticket, nil
+		}
+	}
+	if !ask.Batch {
+		if refusal := entry.hopeless(ask, now); refusal != nil {
+			scheduler.mutex.Unlock()
+			return nil, refusal
+		}
+	}
+	waiting := &waiter{ask: ask, since: now, ticket: make(chan *Ticket, 1)}
+	entry.push(waiting)
+	scheduler.mutex.Unlock()
+	return scheduler.wait(ctx, entry, waiting)
+}
+
+// wait waits for the slot of a queued call.
+func (scheduler *Scheduler) wait(ctx context.Context, entry *service, waiting *waiter) (*Ticket, error) {
+	var late <-chan time.Time
+	if !waiting.ask.Batch {
+		timer := scheduler.clock.NewTimer(waiting.ask.Patience)
+		defer timer.Stop()
+		late = timer.C()
+	}
+	select {
+	case ticket := <-waiting.ticket:
+		return ticket, nil
+	case <-ctx.Done():
+	case <-late:
+	}
+	scheduler.mutex.Lock()
+	left := entry.remove(waiting)
+	expected := entry.expected(len(entry.online), scheduler.clock.Now())
+	scheduler.mutex.Unlock()
+	if !left {
+		// The slot was handed over at the same moment.
+		ticket := <-waiting.ticket
+		if ctx.Err() == nil {
+			return ticket, nil
+		}
+		ticket.Release(false)
+	}
+	refusal := agatestage.Refuse(agatestage.CodeBusy, "no slot became free in time")
+	refusal.RetryAfter = max(minRetryAfter, expected)
+	return nil, refusal
+}
+
+// Release gives the slot back. Failed says that the target broke the call. It
+// may be called more than once.
+func (ticket *Ticket) Release(failed bool) {
+	ticket.once.Do(func() { ticket.scheduler.release(ticket, failed) })
+}
+
+// Yield is closed when a batch call must end for an online one.
+func (ticket *Ticket) Yield() <-chan struct{} {
+	return ticket.yield
+}
+
+func (scheduler *Scheduler) release(ticket *Ticket, failed bool) {
+	scheduler.mutex.Lock()
+	defer scheduler.mutex.Unlock()
+	now := scheduler.clock.Now()
+	entry := scheduler.service(ticket.Target.Service)
+	if target := scheduler.targets[ticket.Target.ID]; target != nil && target.Started.Equal(ticket.Target.Started) {
+		target.leave(ticket)
+		target.note(failed, now)
+	}
+	if !ticket.Batch {
+		entry.hold += time.Duration(holdWeight * float64(now.Sub(ticket.began)-entry.hold))
+	}
+	scheduler.dispatch(entry, now)
+}
+
+// leave takes a ticket off the target's books.
+func (target *target) leave(ticket *Ticket) {
+	if !ticket.Batch {
+		target.online = max(0, target.online-1)
+		return
+	}
+	if i := slices.Index(target.batch, ticket); i >= 0 {
+		target.batch = slices.Delete(target.batch, i, i+1)
+	}
+}
+
+// dispatchAll serves the queues of all services; the mutex is held.
+func (scheduler *Scheduler) dispatchAll() {
+	now := scheduler.clock.Now()
+	for _, entry := range scheduler.services {
+		scheduler.dispatch(entry, now)
+	}
+}
+
+// dispatch gives free slots to waiting calls; the mutex is held.
+func (scheduler *Scheduler) dispatch(entry *service, now time.Time) {
+	for _, queue := range []*[]*waiter{&entry.online, &entry.batch} {
+		kept := (*queue)[:0]
+		for _, waiting := range *queue {
+			if ticket := scheduler.place(entry, waiting.ask, now); ticket != nil {
+				waiting.ticket <- ticket
+			} else {
+				kept = append(kept, waiting)
+			}
+		}
+		clear((*queue)[len(kept):])
+		*queue = kept
+	}
+}
+
+// Down notes that a target couldn't be reached. The prober that OnDown starts
+// calls Up when it can.
+func (scheduler *Scheduler) Down(id string) {
+	scheduler.mutex.Lock()
+	target := scheduler.targets[id]
+	if target == nil || target.down {
+		scheduler.mutex.Unlock()
+		return
+	}
+	target.down = true
+	endpoint := target.Endpoint
+	scheduler.mutex.Unlock()
+	scheduler.onDown(endpoint)
+}
+
+// Up notes that a target can be reached again.
+func (scheduler *Scheduler) Up(id string) {
+	scheduler.mutex.Lock()
+	defer scheduler.mutex.Unlock()
+	if target := scheduler.targets[id]; target != nil {
+		target.down = false
+		scheduler.dispatch(scheduler.service(target.Service), scheduler.clock.Now())
+	}
+}
+
+// Leave stops using an incarnation whose address another one has, until the
+// list of targets says more.
+func (scheduler *Scheduler) Leave(id string) {
+	scheduler.mutex.Lock()
+	defer scheduler.mutex.Unlock()
+	if target := scheduler.targets[id]; target != nil {
+		target.Draining = true
+	}
+}
+
+// Backoff returns how long to wait before the n-th look at a target that
+// couldn't be reached.
+func Backoff(n int) time.Duration {
+	return min(lastBackoff, firstBackoff<<min(n, 8))
+}
+
+// Has reports whether a target is listed.
+func (scheduler *Scheduler) Has(id string) bool {
+	scheduler.mutex.Lock()
+	defer scheduler.mutex.Unlock()
+	return scheduler.targets[id] != nil
+}
--- a/internal/state/watch/watch.go
+++ b/internal/state/watch/watch.go
@@ -10,39 +10,82 @@
 )
 
 const (
-	// wait is how long one poll waits for a change.
-	wait = 4 * time.Second
-	// pause is the time after a failed poll.
-	pause = 500 * time.Millisecond
+	// defaultWait is how long one poll waits for a change.
+	defaultWait = 4 * time.Second
+	// defaultPause is the time after a failed poll.
+	defaultPause = 500 * time.Millisecond
 )
 
 // Apply takes the records that have changed. With whole they are all there are;
 // without, removed ones are marked. An error makes the list be read again.
 type Apply func(ctx context.Context, records []agatestage.Record, whole bool) error
 
+// Option changes how records are followed.
+type Option func(*follower)
+
+// WithWait sets how long one poll waits for a change, which bounds for how long
+// a connection that has lost its peer goes unnoticed.
+func WithWait(wait time.Duration) Option {
+	return func(follower *follower) { follower.wait = wait }
+}
+
+// WithPace sets the least time between two polls, so that a burst of changes
+// costs few calls.
+func WithPace(pace time.Duration) Option {
+	return func(follower *follower) { follower.pace = pace }
+}
+
+// WithPause sets the time after a failed poll.
+func WithPause(pause time.Duration) Option {
+	return func(follower *follower) { follower.pause = pause }
+}
+
+// WithFailure sets what is called after each failed poll.
+func WithFailure(failure func(error)) Option {
+	return func(follower *follower) { follower.failure = failure }
+}
+
+// follower is one prefix that is followed.
+type follower struct {
+	store   agatestage.Store
+	prefix  string
+	wait    time.Duration
+	pace    time.Duration
+	pause   time.Duration
+	failure func(error)
+}
+
 // Follow reads all records under prefix and then their changes until ctx ends.
 // After a failure it reads all again, as changes may have been missed. Apply is
 // also called, without records, when a poll brought no change.
-func Follow(ctx context.Context, store agatestage.Store, clock agatestage.Clock, prefix string, apply Apply) error {
+func Follow(ctx context.Context, store agatestage.Store, clock agatestage.Clock, prefix string, apply Apply, options ...Option) error {
+	follower := follower{store: store, prefix: prefix, wait: defaultWait, pause: defaultPause, failure: func(error) {}}
+	for _, option := range options {
+		option(&follower)
+	}
 	var after uint64
 	listed := false
 	for ctx.Err() == nil {
-		records, next, err := read(ctx, store, prefix, listed, after)
+		records, next, err := follower.read(ctx, listed, after)
 		if err == nil {
 			err = apply(ctx, records, !listed)
 		}
 		if listed = err == nil; listed {
 			after = next
+			if follower.pace > 0 {
+				ticks.Wait(ctx, clock, follower.pace)
+			}
 			continue
 		}
-		ticks.Wait(ctx, clock, pause)
+		follower.failure(err)
+		ticks.Wait(ctx, clock, follower.pause)
 	}
 	return ctx.Err()
 }
 
-func read(ctx context.Context, store agatestage.Store, prefix string, listed bool, after uint64) ([]agatestage.Record, uint64, error) {
+func (follower *follower) read(ctx context.Context, listed bool, after uint64) ([]agatestage.Record, uint64, error) {
 	if listed {
-		return store.Watch(ctx, prefix, after, wait)
+		return follower.store.Watch(ctx, follower.prefix, after, follower.wait)
 	}
-	return store.List(ctx, prefix)
+	return follower.store.List(ctx, follower.prefix)
 }
--- a/internal/trust/certs/bundle.go
+++ b/internal/trust/certs/bundle.go
@@ -26,6 +26,7 @@
 // It follows the files, so that a renewed certificate needs no restart; a file
 // that can't be loaded leaves the former one in force.
 type Bundle struct {
+	// folder is empty if the certificate is in memory only.
 	folder  string
 	clock   agatestage.Clock
 	current atomic.Pointer[loaded]
@@ -49,6 +50,10 @@
 
 // Serve reloads the files when they change, until ctx ends.
 func (bundle *Bundle) Serve(ctx context.Context) error {
+	if bundle.folder == "" {
+		<-ctx.Done()
+		return ctx.Err()
+	}
 	return ticks.Every(ctx, bundle.clock, reloadPeriod, func(context.Context) { bundle.reload() })
 }
 
--- a/internal/trust/certs/issue.go
+++ b/internal/trust/certs/issue.go
@@ -11,6 +11,7 @@
 	"crypto/ecdsa"
 	"crypto/elliptic"
 	"crypto/rand"
+	"crypto/tls"
 	"crypto/x509"
 	"crypto/x509/pkix"
 	"encoding/pem"
@@ -100,24 +101,42 @@
 
 // Issue writes a new certificate and key for a host, with the authority's
 // certificate beside them.
-func (authority *Authority) Issue(folder, host string, role agatestage.Role) (err error) {
+func (authority *Authority) Issue(folder, host string, role agatestage.Role) error {
+	der, key, err := authority.sign(host, role)
+	if err != nil {
+		return err
+	}
+	if err = writePair(folder, HostFile, HostKeyFile, der, key); err != nil {
+		return err
+	}
+	return writeBlock(filepath.Join(folder, AuthorityFile), "CERTIFICATE", authority.certificate.Raw)
+}
+
+// sign makes a host's key and certificate.
+func (authority *Authority) sign(host string, role agatestage.Role) (der []byte, key *ecdsa.PrivateKey, err error) {
 	template := template(host, authority.clock.Now(), hostLife)
 	template.Subject.OrganizationalUnit = []string{string(role)}
 	template.DNSNames = []string{FleetName}
 	template.KeyUsage = x509.KeyUsageDigitalSignature
 	template.ExtKeyUsage = []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth}
-	var key *ecdsa.PrivateKey
 	if key, err = ecdsa.GenerateKey(elliptic.P256(), rand.Reader); err != nil {
-		return errors.Wrap(err, "generate host key")
+		return nil, nil, errors.Wrap(err, "generate host key")
 	}
-	var der []byte
-	if der, err = x509.CreateCertificate(rand.Reader, template, authority.certificate, key.Public(), authority.key); err != nil {
-		return errors.Wrap(err, "sign host certificate")
-	}
-	if err = writePair(folder, HostFile, HostKeyFile, der, key); err != nil {
-		return err
+	der, err = x509.CreateCertificate(rand.Reader, template, authority.certificate, key.Public(), authority.key)
+	return der, key, errors.Wrap(err, "sign host certificate")
+}
+
+// Bundle issues a new certificate for a host that keeps it in memory only.
+func (authority *Authority) Bundle(host string, role agatestage.Role) (*Bundle, error) {
+	der, key, err := authority.sign(host, role)
+	if err != nil {
+		return nil, err
 	}
-	return writeBlock(filepath.Join(folder, AuthorityFile), "CERTIFICATE", authority.certificate.Raw)
+	pool := x509.NewCertPool()
+	pool.AddCert(authority.certificate)
+	bundle := &Bundle{clock: authority.clock}
+	bundle.current.Store(&loaded{certificate: tls.Certificate{Certificate: [][]byte{der}, PrivateKey: key}, authorities: pool})
+	return bundle, nil
 }
 
 func template(name string, now time.Time, life time.Duration) *x509.Certificate {
--- a/store.go
+++ b/store.go
@@ -6,12 +6,14 @@
 	"time"
 )
 
-// The errors of a Store. A caller that receives another error doesn't know
-// whether a write took effect and must read back.
+// The errors of a Store, each of them certain. A caller that receives another
+// error doesn't know whether a write took effect and must read back.
 var (
 	ErrNotFound = errors.New("store: key not found")
 	ErrConflict = errors.New("store: version conflict")
 	ErrNoLease  = errors.New("store: lease not found or expired")
+	// ErrUnavailable is certain: the store has not done what was asked.
+	ErrUnavailable = errors.New("store: unavailable, nothing was done")
 )
 
 // Lease identifies a lease that the store granted.
@@ -51,3 +53,11 @@
 	// Revoke ends the lease and removes its records.
 	Revoke(ctx context.Context, lease Lease) error
 }
+
+// Transactor is a Store that also changes several records at once.
+type Transactor interface {
+	Store
+	// Commit makes all writes if every condition holds, and none otherwise. It
+	// returns the version of the written records, or ErrConflict.
+	Commit(ctx context.Context, conditions []Condition, writes []Write) (uint64, error)
+}
--- a/target.go
+++ b/target.go
@@ -26,9 +26,11 @@
 	Model   string
 	Service string
 	Method  string
-	Path    string
-	Header  http.Header
-	Body    []byte
+	// Host is the name that the caller used; empty where targets don't need it.
+	Host   string `cbor:",omitempty"`
+	Path   string
+	Header http.Header
+	Body   []byte
 	// Timeout is what is left of the caller's deadline when the call is sent.
 	Timeout time.Duration
 	// Idempotent calls may be retried on another target after a failure.
