limit/tally: limit organisations by what gateways tell one another

Ruled out: a permanent static part of each bucket (it strands a quarter of the rate where demand is skewed); longer waits (late answers earn little).

Change: gateways tell one another what they have admitted; the bucket is estimated everywhere, and parts of the rate are used only while it runs low. It needs no store. Nine cases with the users' rule as their bound, among them floods that move, restarts in series and a cut.

--- a/internal/gate/gossip/gossip.go
+++ b/internal/gate/gossip/gossip.go
@@ -19,6 +19,7 @@
 	"github.com/agatestage/agatestage"
 	"github.com/agatestage/agatestage/internal/base/ticks"
 	"github.com/agatestage/agatestage/internal/gate/sched"
+	"github.com/agatestage/agatestage/internal/limit/tally"
 	"github.com/agatestage/agatestage/internal/route/blame"
 	"github.com/agatestage/agatestage/internal/state/member"
 	"github.com/agatestage/agatestage/internal/trust/certs"
@@ -47,6 +48,9 @@
 	// goneAfter is how long a gateway that isn't a member must have been silent
 	// before its work is taken over.
 	goneAfter = 2500 * time.Millisecond
+	// admitFor is how long a gateway that isn't heard keeps its part of the
+	// organisations' rates. It may be cut off from this one only.
+	admitFor = 6 * time.Second
 	// silentFor is how long the store must have failed before its records are
 	// taken from another gateway.
 	silentFor = 400 * time.Millisecond
@@ -67,6 +71,8 @@
 	// Leaving gateways take no new work.
 	Leaving bool
 	Held    map[string]sched.Held
+	// Counts are the requests that the gateway has admitted, by organisation.
+	Counts map[string]tally.Count
 }
 
 // Source is what a gateway tells of itself and takes from others.
@@ -74,6 +80,10 @@
 	// Held returns the calls that it has at each target, Hear takes another's.
 	Held() map[string]sched.Held
 	Hear(gateway string, held map[string]sched.Held)
+	// Counts returns what it has admitted, of all organisations or only of those
+	// that are near their limits; HearCounts takes another's.
+	Counts(all bool) map[string]tally.Count
+	HearCounts(gateway, instance string, counts map[string]tally.Count)
 	// Version returns the version of the configuration in force.
 	Version() uint64
 	// Silent returns for how long the store has failed here.
@@ -132,7 +142,7 @@
 		round++
 		for _, other := range mesh.others() {
 			if far || other.Region == mesh.roster.Self().Region {
-				mesh.tell(ctx, other)
+				mesh.tell(ctx, other, far)
 			}
 		}
 	})
@@ -199,8 +209,9 @@
 	return members
 }
 
-// own returns what this gateway tells.
-func (mesh *Mesh) own() State {
+// own returns what this gateway tells, with the counts of all organisations or
+// of those near their limits.
+func (mesh *Mesh) own(all bool) State {
 	mesh.mutex.Lock()
 	leaving := mesh.leaving
 	mesh.mutex.Unlock()
@@ -208,12 +219,13 @@
 	return State{
 		Name: self.Name, Instance: mesh.instance, Region: self.Region, Zone: self.Zone, Version: mesh.source.Version(),
 		Hears: mesh.source.Silent() == 0, Leaving: leaving, Held: mesh.source.Held(),
+		Counts: mesh.source.Counts(all),
 	}
 }
 
 // tell sends this gateway's state to another and takes the other's, unless an
 // exchange with it is still on its way.
-func (mesh *Mesh) tell(ctx context.Context, to member.Member) {
+func (mesh *Mesh) tell(ctx context.Context, to member.Member, all bool) {
 	mesh.mutex.Lock()
 	busy := mesh.asking[to.Name]
 	mesh.asking[to.Name] = true
@@ -230,7 +242,7 @@
 		ctx, cancel := context.WithTimeout(ctx, askTimeout)
 		defer cancel()
 		var reply State
-		if err := mesh.node.Ask(ctx, to.Address, KindState, mesh.own(), &reply); err != nil {
+		if err := mesh.node.Ask(ctx, to.Address, KindState, mesh.own(all), &reply); err != nil {
 			klog.V(2).InfoS("gateway not heard", "gateway", to.Name, "error", err.Error())
 			return
 		}
@@ -249,6 +261,7 @@
 	mesh.mutex.Unlock()
 	if known != nil {
 		mesh.source.Hear(state.Name, state.Held)
+		mesh.source.HearCounts(state.Name, state.Instance, state.Counts)
 	}
 }
 
@@ -275,7 +288,7 @@
 
 // Alive returns the states of the gateways that are alive, this one included.
 func (mesh *Mesh) Alive() []State {
-	own := mesh.own()
+	own := mesh.own(false)
 	mesh.mutex.Lock()
 	defer mesh.mutex.Unlock()
 	return append(mesh.states(mesh.clock.Now()), own)
@@ -313,20 +326,6 @@
 	return !listed && silent > goneAfter
 }
 
-// Hosts lists the gateways that are members or were heard lately.
-func (mesh *Mesh) Hosts() (hosts []agatestage.Host) {
-	mesh.mutex.Lock()
-	defer mesh.mutex.Unlock()
-	self := mesh.roster.Self()
-	hosts = append(hosts, agatestage.Host{Name: self.Name, Role: agatestage.RoleEntry, Region: self.Region, Zone: self.Zone, Address: self.Address})
-	for name, known := range mesh.peers {
-		hosts = append(hosts, agatestage.Host{
-			Name: name, Role: agatestage.RoleEntry, Region: known.member.Region, Zone: known.member.Zone, Address: known.member.Address,
-		})
-	}
-	return hosts
-}
-
 // Address returns where a gateway listens.
 func (mesh *Mesh) Address(name string) (address netip.AddrPort, ok bool) {
 	mesh.mutex.Lock()
@@ -338,6 +337,20 @@
 	return known.member.Address, true
 }
 
+// Admitting returns the names of the other gateways that may admit requests:
+// those that were heard lately, and members that may only be cut off.
+func (mesh *Mesh) Admitting() (names []string) {
+	mesh.mutex.Lock()
+	defer mesh.mutex.Unlock()
+	now := mesh.clock.Now()
+	for name, known := range mesh.peers {
+		if now.Sub(known.heard) < admitFor {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
 // Fresh reports whether a gateway that hears the store was heard lately and
 // knows no newer configuration than this one.
 func (mesh *Mesh) Fresh() bool {
@@ -380,7 +393,7 @@
 		return errors.Errorf("%s speaks as %s", from.Host, state.Name)
 	}
 	mesh.hear(state)
-	return stream.Send(mesh.own())
+	return stream.Send(mesh.own(true))
 }
 
 func (mesh *Mesh) serveConfig(_ context.Context, _ certs.Identity, stream *link.Stream) error {
--- a/internal/gate/start/source.go
+++ b/internal/gate/start/source.go
@@ -15,6 +15,7 @@
 	"github.com/agatestage/agatestage/internal/gate/gossip"
 	"github.com/agatestage/agatestage/internal/gate/rules"
 	"github.com/agatestage/agatestage/internal/gate/sched"
+	"github.com/agatestage/agatestage/internal/limit/tally"
 	"github.com/agatestage/agatestage/internal/route/blame"
 )
 
@@ -28,6 +29,7 @@
 	targets *feeds.Targets
 	blame   *blame.List
 	mesh    *gossip.Mesh
+	limits  *tally.Tally
 	self    string
 
 	mutex     sync.Mutex
@@ -78,6 +80,14 @@
 // Strike implements gossip.Source.
 func (view *view) Strike(strike blame.Strike) { view.blame.Add(strike) }
 
+// Counts implements gossip.Source.
+func (view *view) Counts(all bool) map[string]tally.Count { return view.limits.Counts(all) }
+
+// HearCounts implements gossip.Source.
+func (view *view) HearCounts(gateway, instance string, counts map[string]tally.Count) {
+	view.limits.Hear(gateway, instance, counts)
+}
+
 // Age implements serve.Freshness.
 func (view *view) Age() time.Duration { return view.contact.Age() }
 
--- a/internal/gate/start/start.go
+++ b/internal/gate/start/start.go
@@ -26,7 +26,7 @@
 	"github.com/agatestage/agatestage/internal/gate/rules"
 	"github.com/agatestage/agatestage/internal/gate/sched"
 	"github.com/agatestage/agatestage/internal/gate/serve"
-	"github.com/agatestage/agatestage/internal/limit/agent"
+	"github.com/agatestage/agatestage/internal/limit/tally"
 	"github.com/agatestage/agatestage/internal/route/blame"
 	"github.com/agatestage/agatestage/internal/state/member"
 	"github.com/agatestage/agatestage/internal/trust/certs"
@@ -34,10 +34,6 @@
 )
 
 const (
-	// limitWait is how long a request waits for its organisation's rate: two
-	// exchanges with an owner in the other region, 60 ms away, and still within
-	// the shortest aim on the users' sheets.
-	limitWait = 150 * time.Millisecond
 	// joinPause is the time between two tries to reach the store at the start.
 	joinPause = 250 * time.Millisecond
 	// sweepPeriod is how often idle connections to targets are looked at.
@@ -74,7 +70,6 @@
 	roster  *member.Roster
 	view    *view
 	mesh    *gossip.Mesh
-	limits  *agent.Agent
 	jobs    *batch.Manager
 	handler http.Handler
 }
@@ -193,18 +188,17 @@
 	view.targets = feeds.NewTargets(store, clock, adapter.TargetPrefix(), adapter.Target, contact, view.Apply)
 	view.mesh = gossip.New(node, roster, instance, clock, view)
 	relay := relay.New(clock, scheduler, pool, adapter, view.blame, relay.WithStrikes(view.mesh.Tell))
-	limits := agent.New(node, roster, store, holder, view.mesh.Hosts, limitWait, clock)
+	view.limits = tally.New(clock, holder, view.mesh.Admitting)
 	jobs := batch.New(batch.Gateway{Name: settings.Name, Instance: instance, Region: settings.Region}, store, clock, relay, holder, view,
 		serve.Fingerprint, batch.WithFailure(contact.Failed), batch.WithAsker(asker(node, view.mesh)))
 	node.Handle(kindJob, serveJob(jobs))
-	server := serve.New(holder, limits, relay, view, clock)
+	server := serve.New(holder, view.limits, relay, view, clock)
 	holder.OnChange(func(snapshot *rules.Snapshot) { gateway.idle.setLimit(snapshot.Bounds().IdleTime) })
-	gateway.parts = &parts{node: node, roster: roster, view: view, mesh: view.mesh, limits: limits, jobs: jobs,
+	gateway.parts = &parts{node: node, roster: roster, view: view, mesh: view.mesh, jobs: jobs,
 		handler: adapter.Callers(server, jobs, holder, clock)}
 	gateway.tree.Start("links", bundle, node)
 	gateway.tree.Start("state", roster.Renewer(), roster, view.config, view.targets)
 	gateway.tree.Start("gateways", view.mesh)
-	gateway.tree.Start("limits", limits.Services()...)
 	gateway.tree.Start("connections", super.Func("connections", func(ctx context.Context) error {
 		return ticks.Every(ctx, clock, sweepPeriod, func(context.Context) {
 			pool.Sweep()
@@ -260,9 +254,6 @@
 	}
 	last, cancelLast := context.WithTimeout(context.Background(), leaveTime)
 	defer cancelLast()
-	if err := gateway.parts.limits.Keeper().Leave(last); err != nil {
-		klog.InfoS("limit partitions not handed over", "error", err.Error())
-	}
 	gateway.parts.roster.Leave(last)
 	_ = gateway.parts.node.Close()
 	klog.InfoS("gateway stops")
--- /dev/null
+++ b/internal/limit/tally/tally_test.go
@@ -0,0 +1,249 @@
+package tally_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+	clocktest "k8s.io/utils/clock/testing"
+
+	"github.com/agatestage/agatestage"
+	"github.com/agatestage/agatestage/internal/limit/tally"
+)
+
+func TestTally(t *testing.T) {
+	gomega.RegisterFailHandler(ginkgo.Fail)
+	ginkgo.RunSpecs(t, "tally")
+}
+
+const (
+	organisation = "org"
+	// step is the resolution of the played time.
+	step = 10 * time.Millisecond
+	// window, overage and slack are the users' rule: in any window, at most
+	// (rate × window + burst) × (1 + overage) + slack are admitted.
+	window  = 5 * time.Second
+	overage = 0.1
+	slack   = 20
+)
+
+// rates is a source of one organisation's rate.
+type rates struct{ limit agatestage.Rate }
+
+func (rates rates) Rate(name string) (agatestage.Rate, bool) {
+	return rates.limit, name == organisation
+}
+
+// gateway is one played gateway.
+type gateway struct {
+	name     string
+	instance int
+	tally    *tally.Tally
+	down     bool
+	cut      bool
+}
+
+// fleet plays gateways that tell one another with a delay.
+type fleet struct {
+	clock    *clocktest.FakeClock
+	rate     rates
+	random   *rand.Rand
+	gateways []*gateway
+	mail     []message
+	admitted []time.Time
+	refused  int
+	asked    int
+}
+
+// message is on its way between two gateways.
+type message struct {
+	due    time.Time
+	from   *gateway
+	to     *gateway
+	counts map[string]tally.Count
+	run    string
+}
+
+func newFleet(count int, rate agatestage.Rate, seed uint64) *fleet {
+	fleet := &fleet{clock: clocktest.NewFakeClock(time.Unix(1000, 0)), rate: rates{rate}, random: rand.New(rand.NewPCG(seed, seed))}
+	for i := range count {
+		member := &gateway{name: fmt.Sprint("gateway-", i)}
+		fleet.gateways = append(fleet.gateways, member)
+		fleet.restart(member)
+	}
+	return fleet
+}
+
+// restart makes a gateway forget all.
+func (fleet *fleet) restart(member *gateway) {
+	member.instance++
+	member.tally = tally.New(fleet.clock, fleet.rate, func() (names []string) {
+		for _, other := range fleet.gateways {
+			if other != member {
+				names = append(names, other.name)
+			}
+		}
+		return names
+	})
+}
+
+// play offers requests at each gateway's rate for a time.
+func (fleet *fleet) play(length time.Duration, perSecond ...float64) {
+	for end := fleet.clock.Now().Add(length); fleet.clock.Now().Before(end); fleet.clock.Step(step) {
+		for i, member := range fleet.gateways {
+			for range fleet.arrivals(perSecond[i]) {
+				if !member.down {
+					fleet.offer(member)
+				}
+			}
+			fleet.tell(member, i)
+		}
+		fleet.deliver()
+	}
+}
+
+// arrivals draws the requests of one step.
+func (fleet *fleet) arrivals(perSecond float64) (count int) {
+	for range 10 {
+		if fleet.random.Float64() < perSecond*step.Seconds()/10 {
+			count++
+		}
+	}
+	return count
+}
+
+func (fleet *fleet) offer(member *gateway) {
+	fleet.asked++
+	if member.tally.Admit(context.Background(), organisation) != nil {
+		fleet.refused++
+		return
+	}
+	fleet.admitted = append(fleet.admitted, fleet.clock.Now())
+}
+
+// tell sends a gateway's counts to the others: every 100 ms in its half of the
+// fleet, every 500 ms to the other half, 30 ms away.
+func (fleet *fleet) tell(member *gateway, i int) {
+	now := fleet.clock.Now()
+	if member.down || now.UnixMilli()%100 != int64(10*i) {
+		return
+	}
+	far := now.UnixMilli()%500 < 100
+	for j, other := range fleet.gateways {
+		near := (i < len(fleet.gateways)/2) == (j < len(fleet.gateways)/2)
+		if other == member || member.cut || other.cut || (!near && !far) {
+			continue
+		}
+		delay := 2 * time.Millisecond
+		if !near {
+			delay = 30 * time.Millisecond
+		}
+		fleet.mail = append(fleet.mail, message{now.Add(delay), member, other, member.tally.Counts(far), fmt.Sprint(member.instance)})
+	}
+}
+
+func (fleet *fleet) deliver() {
+	kept := fleet.mail[:0]
+	for _, letter := range fleet.mail {
+		if letter.due.After(fleet.clock.Now()) {
+			kept = append(kept, letter)
+		} else if !letter.to.down {
+			letter.to.tally.Hear(letter.from.name, letter.run, letter.counts)
+		}
+	}
+	fleet.mail = kept
+}
+
+// expectBound checks the users' rule on every window.
+func (fleet *fleet) expectBound() {
+	ginkgo.GinkgoHelper()
+	most := (fleet.rate.limit.PerSecond*window.Seconds()+fleet.rate.limit.Burst)*(1+overage) + slack
+	first := 0
+	for last, at := range fleet.admitted {
+		for at.Sub(fleet.admitted[first]) > window {
+			first++
+		}
+		gomega.Expect(float64(last-first+1)).To(gomega.BeNumerically("<=", most), "in the window that ends after %v", at.Sub(fleet.admitted[0]))
+	}
+}
+
+// expectRefused checks the part of the requests that were refused.
+func (fleet *fleet) expectRefused(most float64) {
+	ginkgo.GinkgoHelper()
+	gomega.Expect(float64(fleet.refused) / float64(fleet.asked)).To(gomega.BeNumerically("<=", most))
+}
+
+var rate = agatestage.Rate{PerSecond: 95, Burst: 95}
+
+var _ = ginkgo.Describe("an organisation within its rate", func() {
+	ginkgo.It("is not refused where its requests are spread evenly", func() {
+		fleet := newFleet(4, rate, 1)
+		fleet.play(20*time.Second, 15, 15, 15, 15)
+		fleet.expectRefused(0)
+	})
+	ginkgo.It("is not refused where one gateway gets nearly all", func() {
+		fleet := newFleet(4, rate, 2)
+		fleet.play(20*time.Second, 55, 2, 2, 1)
+		fleet.expectRefused(0.01)
+	})
+	ginkgo.It("is hardly refused after all gateways have restarted", func() {
+		fleet := newFleet(4, rate, 3)
+		fleet.play(5*time.Second, 25, 15, 15, 5)
+		for _, member := range fleet.gateways {
+			fleet.restart(member)
+		}
+		fleet.asked, fleet.refused = 0, 0
+		fleet.play(2*time.Second, 25, 15, 15, 5)
+		fleet.expectRefused(0.02)
+	})
+	ginkgo.It("is not refused where its rate is small", func() {
+		fleet := newFleet(4, agatestage.Rate{PerSecond: 5, Burst: 5}, 4)
+		fleet.play(30*time.Second, 2, 0.5, 0.2, 0)
+		fleet.expectRefused(0.06)
+	})
+})
+
+var _ = ginkgo.Describe("an organisation far above its rate", func() {
+	ginkgo.It("is held to it at even demand", func() {
+		fleet := newFleet(4, rate, 5)
+		fleet.play(5*time.Second, 15, 15, 15, 15)
+		fleet.play(12*time.Second, 115, 115, 115, 115)
+		fleet.expectBound()
+	})
+	ginkgo.It("is held to it when its demand moves", func() {
+		fleet := newFleet(4, rate, 6)
+		fleet.play(5*time.Second, 15, 15, 15, 15)
+		for range 5 {
+			fleet.play(time.Second, 400, 5, 5, 5)
+			fleet.play(time.Second, 5, 5, 400, 5)
+		}
+		fleet.expectBound()
+	})
+	ginkgo.It("is held to it while gateways restart one after another", func() {
+		fleet := newFleet(4, rate, 7)
+		for i := range 12 {
+			fleet.restart(fleet.gateways[i%4])
+			fleet.play(time.Second, 115, 115, 115, 115)
+		}
+		fleet.expectBound()
+	})
+	ginkgo.It("is held to it while one gateway is cut off", func() {
+		fleet := newFleet(4, rate, 8)
+		fleet.play(5*time.Second, 115, 115, 115, 115)
+		fleet.gateways[1].cut = true
+		fleet.play(5*time.Second, 115, 115, 115, 115)
+		fleet.gateways[1].cut = false
+		fleet.play(5*time.Second, 115, 115, 115, 115)
+		fleet.expectBound()
+	})
+	ginkgo.It("uses most of its rate", func() {
+		fleet := newFleet(4, rate, 9)
+		fleet.play(10*time.Second, 300, 60, 60, 60)
+		fleet.expectBound()
+		gomega.Expect(len(fleet.admitted)).To(gomega.BeNumerically(">=", int(rate.PerSecond*10*0.9)))
+	})
+})
