gate/batch: wait for the first configuration before items are judged

Tests found three more: a stale whole list dropped heads written since; a job could be taken over between its writing and its beginning; results of a job that is over here needed the store.

Ruled out: holding back the takeover until the gateway is ready (a later configuration may still be missing a route's new name; so the route is found by host and path now).

Change: items wait for a configuration; twelve cases on the stand-in store.

--- a/internal/gate/batch/access.go
+++ b/internal/gate/batch/access.go
@@ -101,13 +101,20 @@
 	}
 	manager.mutex.Lock()
 	known, ok := manager.heads[spec.ID]
-	draining := manager.draining
+	draining, busy := manager.draining, manager.taking[spec.ID]
+	if !ok && !draining && !busy {
+		// Nobody else takes the job over between its writing and its beginning.
+		manager.taking[spec.ID] = true
+		defer manager.taken(spec.ID)
+	}
 	manager.mutex.Unlock()
-	if ok {
+	switch {
+	case ok:
 		return repeated(known.Head, spec, digest)
-	}
-	if draining {
+	case draining:
 		return agatestage.Refuse(agatestage.CodeStopping, "this gateway is about to stop")
+	case busy:
+		return unsure("the job can't be kept now", errors.New("it is being submitted already"))
 	}
 	var parts [][]byte
 	if parts, err = splitItems(spec.Items); err != nil {
@@ -158,9 +165,7 @@
 	if err != nil {
 		return unsure("the job can't be looked up now", err)
 	}
-	manager.mutex.Lock()
-	manager.keep(seen)
-	manager.mutex.Unlock()
+	manager.note(seen)
 	return repeated(seen.Head, spec, digest)
 }
 
@@ -186,9 +191,7 @@
 			}
 			return seen, unsure("the job can't be looked up now", err)
 		}
-		manager.mutex.Lock()
-		manager.keep(seen)
-		manager.mutex.Unlock()
+		manager.note(seen)
 	}
 	if seen.Organisation != organisation {
 		return seen, agatestage.Refuse(agatestage.CodeNotFound, "there is no job %s", id)
--- /dev/null
+++ b/internal/gate/batch/batch_test.go
@@ -0,0 +1,368 @@
+package batch_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+	"github.com/pkg/errors"
+
+	"github.com/agatestage/agatestage"
+	"github.com/agatestage/agatestage/internal/fake/store"
+	"github.com/agatestage/agatestage/internal/gate/batch"
+	"github.com/agatestage/agatestage/internal/gate/relay"
+	"github.com/agatestage/agatestage/internal/gate/rules"
+)
+
+func TestBatch(t *testing.T) {
+	gomega.RegisterFailHandler(ginkgo.Fail)
+	ginkgo.RunSpecs(t, "batch")
+}
+
+const (
+	host         = "batch.example"
+	prefix       = "/jobs/"
+	organisation = "org"
+	// attempts is how many failures the route allows an item.
+	attempts = 3
+	// patience bounds waiting for what must happen; moment is how long is waited
+	// for what must not.
+	patience = 20 * time.Second
+	moment   = 700 * time.Millisecond
+)
+
+// engine plays the targets: it answers each item with what its script says.
+type engine struct {
+	mutex sync.Mutex
+	runs  map[string]int
+	after map[string]int64
+	serve func(item string, run int) relay.Result
+	hold  chan struct{}
+}
+
+func newEngine() *engine {
+	return &engine{runs: make(map[string]int), after: make(map[string]int64), serve: func(string, int) relay.Result {
+		return relay.Result{Status: http.StatusOK}
+	}}
+}
+
+// Serve implements batch.Runner. A run that is answered sends two events more.
+func (engine *engine) Serve(ctx context.Context, call *agatestage.Call, plan relay.Plan, sink relay.Sink) relay.Result {
+	engine.mutex.Lock()
+	engine.runs[call.ID]++
+	run, hold := engine.runs[call.ID], engine.hold
+	engine.after[call.ID] = plan.After
+	engine.mutex.Unlock()
+	if hold != nil {
+		select {
+		case <-hold:
+		case <-ctx.Done():
+			return relay.Result{Refusal: agatestage.Refuse(agatestage.CodeDeadline, "ended")}
+		}
+	}
+	result := engine.serve(call.ID, run)
+	if result.Status == http.StatusOK {
+		gomega.Expect(sink.Head(http.StatusOK, nil, -1)).To(gomega.Succeed())
+		for number := plan.After + 1; number <= plan.After+2; number++ {
+			gomega.Expect(sink.Data(fmt.Appendf(nil, "id: %d\ndata: %s-%d\n\n", number, call.ID, number))).To(gomega.Succeed())
+			result.Last = number
+		}
+	}
+	return result
+}
+
+func (engine *engine) count(item string) int {
+	engine.mutex.Lock()
+	defer engine.mutex.Unlock()
+	return engine.runs[item]
+}
+
+// fleet tells a manager which gateways there are.
+type fleet struct {
+	mutex sync.Mutex
+	alive []batch.Gateway
+}
+
+func (fleet *fleet) Alive() []batch.Gateway {
+	fleet.mutex.Lock()
+	defer fleet.mutex.Unlock()
+	return append([]batch.Gateway(nil), fleet.alive...)
+}
+
+func (fleet *fleet) Gone(name, instance string) bool {
+	for _, gateway := range fleet.Alive() {
+		if gateway.Name == name {
+			return gateway.Instance != instance
+		}
+	}
+	return true
+}
+
+func (*fleet) Silent() time.Duration { return 0 }
+
+// set replaces the gateways that are alive.
+func (fleet *fleet) set(gateways ...batch.Gateway) {
+	fleet.mutex.Lock()
+	defer fleet.mutex.Unlock()
+	fleet.alive = gateways
+}
+
+// place is a store, a configuration and the gateways that use them.
+type place struct {
+	store  *store.Store
+	holder *rules.Holder
+	engine *engine
+	fleet  *fleet
+}
+
+func newPlace() *place {
+	clock := agatestage.SystemClock()
+	place := &place{store: store.New(clock), holder: rules.NewHolder(clock), engine: newEngine(), fleet: &fleet{}}
+	place.configure(1, prefix)
+	return place
+}
+
+// configure puts a configuration with one batch route in force.
+func (place *place) configure(version uint64, prefix string) {
+	place.holder.Offer(rules.New(rules.Content{Version: version, Routes: []rules.Route{{
+		Name: fmt.Sprint("route-", version), Host: host, Prefix: prefix, Kind: rules.KindBatch, Attempts: attempts,
+		Shares: []rules.Share{{Service: "service", Weight: 1}}, Due: time.Minute, GiveUp: time.Hour,
+	}}}), "test")
+}
+
+// start runs a gateway's manager.
+func (place *place) start(gateway batch.Gateway) (*batch.Manager, context.CancelFunc) {
+	manager := batch.New(gateway, place.store, agatestage.SystemClock(), place.engine, place.holder, place.fleet,
+		func(*agatestage.Call) uint64 { return 0 })
+	ctx, cancel := context.WithCancel(context.Background())
+	ginkgo.DeferCleanup(func() {
+		cancel()
+		manager.Close()
+	})
+	go func() { _ = manager.Serve(ctx) }()
+	return manager, func() {
+		cancel()
+		manager.Close()
+	}
+}
+
+func (place *place) spec(id string, items int) batch.Spec {
+	route, ok := place.holder.Current().Match(host, prefix)
+	gomega.Expect(ok).To(gomega.BeTrue())
+	spec := batch.Spec{ID: id, Organisation: organisation, Route: route, Host: host, Arrived: time.Now()}
+	for i := range items {
+		spec.Items = append(spec.Items, batch.Item{
+			ID: fmt.Sprintf("%s-%d", id, i), Path: prefix + fmt.Sprint(i), Header: map[string]string{"A": "1", "B": "2", "C": "3"}, Body: []byte{byte(i)},
+		})
+	}
+	return spec
+}
+
+// results reads all results that are listed.
+func results(manager *batch.Manager, id string) batch.Page {
+	page, err := manager.Results(context.Background(), organisation, id, 0, 0)
+	gomega.ExpectWithOffset(1, err).NotTo(gomega.HaveOccurred())
+	return page
+}
+
+// expectDone waits until all items are listed, with the outputs that they should
+// have.
+func expectDone(manager *batch.Manager, spec batch.Spec) []batch.Result {
+	ginkgo.GinkgoHelper()
+	gomega.Eventually(func() int { return len(results(manager, spec.ID).Results) }, patience).Should(gomega.Equal(len(spec.Items)))
+	page := results(manager, spec.ID)
+	seen := make(map[string]bool)
+	for _, result := range page.Results {
+		gomega.Expect(seen[result.ID]).To(gomega.BeFalse())
+		seen[result.ID] = true
+		if !result.Failed {
+			gomega.Expect(string(result.Output)).To(gomega.HavePrefix(result.ID + "-1\n" + result.ID + "-2"))
+		}
+	}
+	return page.Results
+}
+
+// expectRefused checks the code and the promise of a refusal.
+func expectRefused(err error, code agatestage.Code, ran agatestage.Ran) {
+	ginkgo.GinkgoHelper()
+	var refusal *agatestage.Refusal
+	gomega.Expect(errors.As(err, &refusal)).To(gomega.BeTrue())
+	gomega.Expect(refusal.Code).To(gomega.Equal(code))
+	gomega.Expect(refusal.Ran).To(gomega.Equal(ran))
+}
+
+var (
+	first  = batch.Gateway{Name: "first", Instance: "1", Region: "region"}
+	second = batch.Gateway{Name: "second", Instance: "9", Region: "region"}
+)
+
+var _ = ginkgo.Describe("a job", func() {
+	ginkgo.It("is run whole and read everywhere in the same order", func() {
+		place := newPlace()
+		place.fleet.set(first, second)
+		owner, _ := place.start(first)
+		reader, _ := place.start(second)
+		spec := place.spec("job", 12)
+		gomega.Expect(owner.Submit(context.Background(), spec)).To(gomega.Succeed())
+		mine := expectDone(owner, spec)
+		gomega.Expect(expectDone(reader, spec)).To(gomega.Equal(mine))
+	})
+	ginkgo.It("is accepted once, whichever gateway it is sent to again", func() {
+		place := newPlace()
+		place.fleet.set(first, second)
+		owner, _ := place.start(first)
+		other, _ := place.start(second)
+		for range 20 {
+			spec := place.spec("job", 4)
+			gomega.Expect(owner.Submit(context.Background(), spec)).To(gomega.Succeed())
+			gomega.Expect(other.Submit(context.Background(), spec)).To(gomega.Succeed())
+		}
+		expectDone(owner, place.spec("job", 4))
+		gomega.Expect(place.engine.count("job-0")).To(gomega.Equal(1))
+		expectRefused(other.Submit(context.Background(), place.spec("job", 5)), agatestage.CodeConflict, agatestage.RanNo)
+	})
+	ginkgo.It("is taken over with what is listed when its gateway is gone", func() {
+		place := newPlace()
+		place.fleet.set(first, second)
+		owner, kill := place.start(first)
+		heir, _ := place.start(second)
+		place.engine.serve = func(item string, run int) relay.Result {
+			if item == "job-3" && run == 1 {
+				return relay.Result{Yielded: true, Refusal: agatestage.Refuse(agatestage.CodeYielded, "yielded")}
+			}
+			return relay.Result{Status: http.StatusOK}
+		}
+		spec := place.spec("job", 4)
+		gomega.Expect(owner.Submit(context.Background(), spec)).To(gomega.Succeed())
+		kill()
+		place.fleet.set(second)
+		expectDone(heir, spec)
+	})
+	ginkgo.It("is handed over by a planned stop", func() {
+		place := newPlace()
+		place.fleet.set(first, second)
+		owner, _ := place.start(first)
+		heir, _ := place.start(second)
+		place.engine.hold = make(chan struct{})
+		spec := place.spec("job", 4)
+		gomega.Expect(owner.Submit(context.Background(), spec)).To(gomega.Succeed())
+		place.fleet.set(second)
+		owner.Drain(context.Background())
+		close(place.engine.hold)
+		expectDone(heir, spec)
+	})
+	ginkgo.It("that ends stays as it is", func() {
+		place := newPlace()
+		place.fleet.set(first, second)
+		owner, _ := place.start(first)
+		other, _ := place.start(second)
+		place.engine.hold = make(chan struct{})
+		spec := place.spec("job", 4)
+		gomega.Expect(owner.Submit(context.Background(), spec)).To(gomega.Succeed())
+		gomega.Expect(other.End(context.Background(), organisation, "job")).To(gomega.Succeed())
+		gomega.Expect(other.End(context.Background(), organisation, "job")).To(gomega.Succeed())
+		gomega.Eventually(func() bool {
+			_, runs := owner.Tell("job", 0)
+			return runs
+		}, patience).Should(gomega.BeFalse())
+		close(place.engine.hold)
+		gomega.Consistently(func() int { return len(results(other, "job").Results) }, moment).Should(gomega.BeZero())
+	})
+	ginkgo.It("is known to its organisation only", func() {
+		place := newPlace()
+		place.fleet.set(first)
+		owner, _ := place.start(first)
+		gomega.Expect(owner.Submit(context.Background(), place.spec("job", 1))).To(gomega.Succeed())
+		_, err := owner.Results(context.Background(), "another", "job", 0, 0)
+		expectRefused(err, agatestage.CodeNotFound, agatestage.RanNo)
+		_, err = owner.Body(context.Background(), organisation, "none", "job-0")
+		expectRefused(err, agatestage.CodeNotFound, agatestage.RanNo)
+		body, err := owner.Body(context.Background(), organisation, "job", "job-0")
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		gomega.Expect(body).To(gomega.Equal([]byte{0}))
+	})
+	ginkgo.It("is refused, not lost, while the store is out", func() {
+		place := newPlace()
+		place.fleet.set(first)
+		owner, _ := place.start(first)
+		gomega.Expect(owner.Submit(context.Background(), place.spec("known", 1))).To(gomega.Succeed())
+		place.store.Fail(store.Faults{Outage: true})
+		expectRefused(owner.Submit(context.Background(), place.spec("job", 1)), agatestage.CodeStore, agatestage.RanUnknown)
+		gomega.Expect(results(owner, "known").Total).To(gomega.Equal(1))
+		_, err := owner.Results(context.Background(), organisation, "job", 0, 0)
+		expectRefused(err, agatestage.CodeStore, agatestage.RanNo)
+		place.store.Fail(store.Faults{})
+		gomega.Expect(owner.Submit(context.Background(), place.spec("job", 1))).To(gomega.Succeed())
+	})
+	ginkgo.It("is kept though the store's reply is lost", func() {
+		place := newPlace()
+		place.fleet.set(first)
+		owner, _ := place.start(first)
+		place.store.Fail(store.Faults{LoseReplies: 1})
+		spec := place.spec("job", 2)
+		gomega.Expect(owner.Submit(context.Background(), spec)).To(gomega.Succeed())
+		expectDone(owner, spec)
+	})
+})
+
+var _ = ginkgo.Describe("an item", func() {
+	ginkgo.It("waits for the configuration of a gateway that has just started", func() {
+		place := newPlace()
+		place.fleet.set(first)
+		owner, kill := place.start(first)
+		place.engine.hold = make(chan struct{})
+		spec := place.spec("job", 2)
+		gomega.Expect(owner.Submit(context.Background(), spec)).To(gomega.Succeed())
+		kill()
+		place.engine.hold = nil
+		again := first
+		again.Instance = "2"
+		place.fleet.set(again)
+		place.holder = rules.NewHolder(agatestage.SystemClock())
+		owner, _ = place.start(again)
+		gomega.Consistently(func() int { return len(results(owner, "job").Results) }, moment).Should(gomega.BeZero())
+		place.configure(1, prefix)
+		for _, result := range expectDone(owner, spec) {
+			gomega.Expect(result.Failed).To(gomega.BeFalse())
+		}
+	})
+	ginkgo.It("follows its route when that gets another name, and ends with it", func() {
+		place := newPlace()
+		place.fleet.set(first)
+		owner, _ := place.start(first)
+		place.engine.serve = func(string, int) relay.Result {
+			return relay.Result{Yielded: true, Refusal: agatestage.Refuse(agatestage.CodeYielded, "yielded")}
+		}
+		spec := place.spec("job", 1)
+		gomega.Expect(owner.Submit(context.Background(), spec)).To(gomega.Succeed())
+		place.configure(2, prefix)
+		gomega.Consistently(func() int { return len(results(owner, "job").Results) }, moment).Should(gomega.BeZero())
+		place.configure(3, "/other/")
+		gomega.Expect(expectDone(owner, spec)[0].Failed).To(gomega.BeTrue())
+	})
+	ginkgo.It("is given up after the failures that its route allows", func() {
+		place := newPlace()
+		place.fleet.set(first)
+		owner, _ := place.start(first)
+		place.engine.serve = func(string, int) relay.Result { return relay.Result{Status: http.StatusInternalServerError} }
+		spec := place.spec("job", 1)
+		gomega.Expect(owner.Submit(context.Background(), spec)).To(gomega.Succeed())
+		gomega.Expect(expectDone(owner, spec)[0].Failed).To(gomega.BeTrue())
+		gomega.Expect(place.engine.count("job-0")).To(gomega.Equal(attempts))
+	})
+	ginkgo.It("that can't be done is not run again", func() {
+		place := newPlace()
+		place.fleet.set(first)
+		owner, _ := place.start(first)
+		place.engine.serve = func(string, int) relay.Result { return relay.Result{Status: http.StatusUnprocessableEntity} }
+		spec := place.spec("job", 1)
+		gomega.Expect(owner.Submit(context.Background(), spec)).To(gomega.Succeed())
+		gomega.Expect(expectDone(owner, spec)[0].Failed).To(gomega.BeTrue())
+		gomega.Expect(place.engine.count("job-0")).To(gomega.Equal(1))
+	})
+})
--- a/internal/gate/batch/job.go
+++ b/internal/gate/batch/job.go
@@ -154,6 +154,7 @@
 	if after, err = job.manager.vault.write(ctx, before, head, writes...); err != nil {
 		return err
 	}
+	job.manager.note(after)
 	job.mutex.Lock()
 	defer job.mutex.Unlock()
 	job.entry = after
--- a/internal/gate/batch/manager.go
+++ b/internal/gate/batch/manager.go
@@ -51,6 +51,11 @@
 	Silent() time.Duration
 }
 
+// Runner sends the items of jobs to targets.
+type Runner interface {
+	Serve(ctx context.Context, call *agatestage.Call, plan relay.Plan, sink relay.Sink) relay.Result
+}
+
 // Manager accepts jobs and runs those that this gateway owns.
 type Manager struct {
 	name     string
@@ -58,7 +63,7 @@
 	region   string
 	clock    agatestage.Clock
 	vault    *vault
-	relay    *relay.Relay
+	runner   Runner
 	rules    *rules.Holder
 	fleet    Fleet
 	failure  func(error)
@@ -93,10 +98,10 @@
 }
 
 // New returns the manager of one process of a gateway.
-func New(self Gateway, store agatestage.Transactor, clock agatestage.Clock, relay *relay.Relay, holder *rules.Holder, fleet Fleet, fingerprint func(*agatestage.Call) uint64, options ...Option) *Manager {
+func New(self Gateway, store agatestage.Transactor, clock agatestage.Clock, runner Runner, holder *rules.Holder, fleet Fleet, fingerprint func(*agatestage.Call) uint64, options ...Option) *Manager {
 	manager := &Manager{
 		name: self.Name, instance: self.Instance, region: self.Region, clock: clock, vault: &vault{store: store, clock: clock},
-		relay: relay, rules: holder, fleet: fleet, failure: func(error) {}, fingerprint: fingerprint,
+		runner: runner, rules: holder, fleet: fleet, failure: func(error) {}, fingerprint: fingerprint,
 		heads: make(map[string]entry), jobs: make(map[string]*job), taking: make(map[string]bool), views: make(map[string]*view),
 		changed: make(chan struct{}),
 	}
@@ -119,19 +124,20 @@
 		_ = ticks.Every(ctx, manager.clock, lookPeriod, manager.look)
 	}()
 	go func() { _ = ticks.Every(ctx, manager.clock, sweepPeriod, manager.sweep) }()
+	var revision uint64
 	return watch.Follow(ctx, manager.vault.store, manager.clock, headPrefix, func(_ context.Context, records []agatestage.Record, whole bool) error {
-		manager.follow(records, whole)
+		manager.follow(records, whole, revision)
 		return nil
-	}, watch.WithWait(headsWait), watch.WithPace(headsPace), watch.WithFailure(manager.failure))
+	}, watch.WithListed(func(listed uint64) { revision = listed }), watch.WithWait(headsWait), watch.WithPace(headsPace), watch.WithFailure(manager.failure))
 }
 
-// follow takes heads that have changed, or all of them.
-func (manager *Manager) follow(records []agatestage.Record, whole bool) {
+// follow takes heads that have changed, or all that there were at a revision.
+func (manager *Manager) follow(records []agatestage.Record, whole bool, revision uint64) {
 	manager.mutex.Lock()
 	manager.heardAt = manager.clock.Now()
 	var lost []*job
 	if whole {
-		manager.dropUnlisted(records)
+		manager.dropUnlisted(records, revision)
 	}
 	for _, record := range records {
 		if record.Deleted {
@@ -158,14 +164,15 @@
 	}
 }
 
-// dropUnlisted forgets heads that were deleted while the store wasn't heard.
-func (manager *Manager) dropUnlisted(records []agatestage.Record) {
+// dropUnlisted forgets heads that were deleted while the store wasn't heard, but
+// not those that have been written since the list was read.
+func (manager *Manager) dropUnlisted(records []agatestage.Record, revision uint64) {
 	there := make(map[string]bool, len(records))
 	for _, record := range records {
 		there[record.Key[len(headPrefix):]] = true
 	}
-	for id := range manager.heads {
-		if !there[id] {
+	for id, known := range manager.heads {
+		if !there[id] && known.version <= revision {
 			delete(manager.heads, id)
 		}
 	}
@@ -180,6 +187,13 @@
 	return manager.jobs[seen.ID]
 }
 
+// note remembers a head that was written here, before the store's feed shows it.
+func (manager *Manager) note(written entry) {
+	manager.mutex.Lock()
+	defer manager.mutex.Unlock()
+	manager.keep(written)
+}
+
 // look takes over the jobs that nobody runs.
 func (manager *Manager) look(ctx context.Context) {
 	if manager.fleet.Silent() > 0 {
@@ -190,7 +204,7 @@
 	var orphans []entry
 	for id, head := range manager.heads {
 		if owned := manager.jobs[id]; owned != nil && owned.over() {
-			delete(manager.jobs, id)
+			manager.retire(id, owned)
 		}
 		if head.Open() && manager.jobs[id] == nil && !manager.taking[id] && !manager.draining && manager.mine(head, alive) {
 			manager.taking[id] = true
@@ -203,6 +217,18 @@
 	}
 }
 
+// retire forgets a job that is over here and remembers its results; the mutex is
+// held.
+func (manager *Manager) retire(id string, owned *job) {
+	delete(manager.jobs, id)
+	last, results, _ := owned.view()
+	cached := manager.view(id)
+	cached.items = owned.items
+	if len(cached.results) < len(results) {
+		cached.results, cached.chunks = results, last.Chunks
+	}
+}
+
 // over reports whether nothing is left to do on the job here.
 func (job *job) over() bool {
 	select {
@@ -215,7 +241,7 @@
 
 // mine reports whether this gateway is the one to take the job over.
 func (manager *Manager) mine(head entry, alive []Gateway) bool {
-	if head.Instance == manager.instance {
+	if head.Owner == manager.name && head.Instance == manager.instance {
 		return true
 	}
 	if head.Owner != "" && !manager.fleet.Gone(head.Owner, head.Instance) {
@@ -236,11 +262,7 @@
 
 // take makes this gateway the owner of a job and goes on with it.
 func (manager *Manager) take(ctx context.Context, orphan entry) {
-	defer func() {
-		manager.mutex.Lock()
-		defer manager.mutex.Unlock()
-		delete(manager.taking, orphan.ID)
-	}()
+	defer manager.taken(orphan.ID)
 	head := orphan.Head
 	head.Owner, head.Instance, head.Epoch = manager.name, manager.instance, head.Epoch+1
 	taken, err := manager.vault.write(ctx, orphan, head)
@@ -269,6 +291,13 @@
 	manager.begin(taken, items, listed)
 }
 
+// taken lets others look after a job again.
+func (manager *Manager) taken(id string) {
+	manager.mutex.Lock()
+	defer manager.mutex.Unlock()
+	delete(manager.taking, id)
+}
+
 // refetch reads a head that has been changed elsewhere.
 func (manager *Manager) refetch(ctx context.Context, id string) {
 	seen, err := manager.vault.head(ctx, id)
@@ -303,6 +332,11 @@
 	manager.stop()
 }
 
+// Close stops the work on all jobs and leaves their records as they are.
+func (manager *Manager) Close() {
+	manager.stop()
+}
+
 // sweep deletes the records of jobs that are no longer kept, one by one.
 func (manager *Manager) sweep(ctx context.Context) {
 	if manager.fleet.Silent() > 0 {
--- a/internal/gate/batch/run.go
+++ b/internal/gate/batch/run.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"net/http"
+	"strings"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -47,7 +48,11 @@
 	sink := &collector{}
 	var tries attempts
 	for ctx.Err() == nil {
-		route, ok := job.route()
+		route, known, ok := job.route(item)
+		if !known {
+			ticks.Wait(ctx, job.manager.clock, retryPause)
+			continue
+		}
 		if !ok {
 			klog.InfoS("item given up", "job", job.entry.ID, "item", item.ID, "reason", "its route is gone")
 			job.finish(Result{ID: item.ID, Failed: true})
@@ -67,20 +72,23 @@
 	}
 }
 
-// route returns the job's route as it is now.
-func (job *job) route() (*rules.Route, bool) {
+// route returns the route that the item has now, and whether any configuration
+// is known here yet: a gateway that has just started may read jobs before it.
+func (job *job) route(item *Item) (route *rules.Route, known, ok bool) {
 	snapshot := job.manager.rules.Current()
 	if snapshot == nil {
-		return nil, false
+		return nil, false, false
 	}
-	return snapshot.Route(job.entry.Route)
+	path, _, _ := strings.Cut(item.Path, "?")
+	route, ok = snapshot.Match(job.entry.Host, path)
+	return route, true, ok && route.Kind == rules.KindBatch
 }
 
 // send runs the item once, from where it was cut before.
 func (job *job) send(ctx context.Context, item *Item, route *rules.Route, sink *collector) relay.Result {
 	call := &agatestage.Call{
 		ID: item.ID, Organisation: job.entry.Organisation, Service: route.Service(item.ID), Method: http.MethodPost,
-		Host: route.Host, Path: item.Path, Header: headerOf(item), Body: item.Body, Idempotent: true, Batch: true,
+		Host: job.entry.Host, Path: item.Path, Header: headerOf(item), Body: item.Body, Idempotent: true, Batch: true,
 	}
 	call.Fingerprint = job.manager.fingerprint(call)
 	gap := route.Gap
@@ -88,7 +96,7 @@
 		gap = silence
 	}
 	now := job.manager.clock.Now()
-	return job.manager.relay.Serve(ctx, call, relay.Plan{
+	return job.manager.runner.Serve(ctx, call, relay.Plan{
 		Service: call.Service, Repeatable: true, Attempts: 1, Stream: true, Resumable: true, Batch: true,
 		Aim: firstEvent, Gap: gap, Deadline: now.Add(runTime), Due: job.entry.Due, After: sink.last(),
 	}, sink)
--- a/internal/gate/rules/rules.go
+++ b/internal/gate/rules/rules.go
@@ -196,16 +196,6 @@
 	return len(snapshot.hosts[host]) > 0
 }
 
-// Route returns a route by its name.
-func (snapshot *Snapshot) Route(name string) (*Route, bool) {
-	for i := range snapshot.content.Routes {
-		if snapshot.content.Routes[i].Name == name {
-			return &snapshot.content.Routes[i], true
-		}
-	}
-	return nil, false
-}
-
 // Service returns a service by its name.
 func (snapshot *Snapshot) Service(name string) (Service, bool) {
 	service, ok := snapshot.services[name]
--- a/internal/limit/tally/tally.go
+++ b/internal/limit/tally/tally.go
@@ -38,13 +38,19 @@
 const (
 	// reserveFraction is the part of the burst below which only parts of the rate
 	// are admitted, however small the others' demand.
-	reserveFraction = 0.2
+	reserveFraction = 0.1
+	// tolerance is how many requests may be admitted beyond the bucket for the
+	// sake of not refusing others that it has room for. The users allow 20.
+	tolerance = 3
 	// startFraction is the part of the burst that a gateway which knows nothing
 	// assumes.
 	startFraction = 0.5
 	// toldDelay is how long a request may go untold: the period of messages
 	// between regions and their way.
 	toldDelay = 600 * time.Millisecond
+	// heardFor is how long after its last message a gateway counts as heard: two
+	// periods of messages between regions.
+	heardFor = time.Second
 	// pacedTime is for how long a gateway's part of the rate can be saved up.
 	pacedTime = 300 * time.Millisecond
 	// demandDecay is the time constant of the measured demand.
@@ -92,6 +98,7 @@
 // peer is another gateway.
 type peer struct {
 	instance string
+	heard    time.Time
 	admitted map[string]uint64
 }
 
@@ -132,7 +139,7 @@
 	now := tally.clock.Now()
 	account := tally.account(organisation, rate, now)
 	part := account.part(others)
-	account.fill(rate, now)
+	tally.fill(account, rate, others, now)
 	account.pace(rate, part, now)
 	account.arrive(now)
 	if account.level < 1 || (account.paced < 1 && account.level-1 < account.reserve(rate, others)) {
@@ -176,14 +183,24 @@
 	for _, name := range others {
 		demand += account.others[name]
 	}
-	return min(burst(rate)-1, max(burst(rate)*reserveFraction, demand*toldDelay.Seconds()))
+	return max(0, min(burst(rate)-1, max(burst(rate)*reserveFraction, demand*toldDelay.Seconds()))-tolerance)
 }
 
-// fill brings the estimate of the bucket up to now.
-func (account *account) fill(rate agatestage.Rate, now time.Time) {
+// fill brings the estimate of the bucket up to now. Gateways that aren't heard
+// are taken to use their parts of the rate.
+func (tally *Tally) fill(account *account, rate agatestage.Rate, others []string, now time.Time) {
+	share, sum := 1.0, account.demand+1
+	for _, name := range others {
+		sum += account.others[name] + 1
+	}
+	for _, name := range others {
+		if known := tally.peers[name]; known == nil || now.Sub(known.heard) > heardFor {
+			share -= (account.others[name] + 1) / sum
+		}
+	}
 	elapsed := max(0, now.Sub(account.at).Seconds())
 	account.at = now
-	account.level = min(burst(rate), account.level+rate.PerSecond*elapsed)
+	account.level = min(burst(rate), account.level+rate.PerSecond*share*elapsed)
 }
 
 // pace brings this gateway's part of the rate up to now.
@@ -239,6 +256,7 @@
 
 // Hear takes what a process of another gateway has told.
 func (tally *Tally) Hear(gateway, instance string, counts map[string]Count) {
+	others := tally.gateways()
 	tally.mutex.Lock()
 	defer tally.mutex.Unlock()
 	now := tally.clock.Now()
@@ -247,13 +265,14 @@
 		known = &peer{instance: instance, admitted: make(map[string]uint64)}
 		tally.peers[gateway] = known
 	}
+	known.heard = now
 	for organisation, count := range counts {
 		rate, ok := tally.rates.Rate(organisation)
 		if !ok {
 			continue
 		}
 		account := tally.account(organisation, rate, now)
-		account.fill(rate, now)
+		tally.fill(account, rate, others, now)
 		before, heard := known.admitted[organisation]
 		switch {
 		case !account.told:
--- a/internal/state/watch/watch.go
+++ b/internal/state/watch/watch.go
@@ -45,6 +45,12 @@
 	return func(follower *follower) { follower.failure = failure }
 }
 
+// WithListed sets what is called with the store's revision of each whole list,
+// before the list is applied. What has been written since isn't in the list.
+func WithListed(listed func(revision uint64)) Option {
+	return func(follower *follower) { follower.listed = listed }
+}
+
 // follower is one prefix that is followed.
 type follower struct {
 	store   agatestage.Store
@@ -53,13 +59,14 @@
 	pace    time.Duration
 	pause   time.Duration
 	failure func(error)
+	listed  func(revision uint64)
 }
 
 // Follow reads all records under prefix and then their changes until ctx ends.
 // After a failure it reads all again, as changes may have been missed. Apply is
 // also called, without records, when a poll brought no change.
 func Follow(ctx context.Context, store agatestage.Store, clock agatestage.Clock, prefix string, apply Apply, options ...Option) error {
-	follower := follower{store: store, prefix: prefix, wait: defaultWait, pause: defaultPause, failure: func(error) {}}
+	follower := follower{store: store, prefix: prefix, wait: defaultWait, pause: defaultPause, failure: func(error) {}, listed: func(uint64) {}}
 	for _, option := range options {
 		option(&follower)
 	}
@@ -67,6 +74,9 @@
 	listed := false
 	for ctx.Err() == nil {
 		records, next, err := follower.read(ctx, listed, after)
+		if err == nil && !listed {
+			follower.listed(next)
+		}
 		if err == nil {
 			err = apply(ctx, records, !listed)
 		}
