gate: tell gateways and ask the store less often

Change: messages between gateways go one way, at periods that grow with their number; polls wait 4 s, as a newer configuration is told by other gateways; the heads of jobs are polled every 1.8 s, and the owner of an ended job is told.

--- a/internal/gate/batch/access.go
+++ b/internal/gate/batch/access.go
@@ -52,9 +52,24 @@
 	items   []Item
 }
 
-// Asker asks the owner of a job for its head and the results from a position
-// on. It returns false if the owner can't be reached or isn't the owner.
-type Asker func(ctx context.Context, owner string, id string, after int) (Answer, bool)
+// Others speaks to the gateways that own jobs.
+type Others interface {
+	// Ask asks the owner of a job for its head and the results from a position
+	// on. It returns false if the owner can't be reached or isn't the owner.
+	Ask(ctx context.Context, owner, id string, after int) (Answer, bool)
+	// Changed tells the owner of a job that its head has been changed. Owners also
+	// see that by themselves, later.
+	Changed(owner, id string)
+}
+
+// alone is a gateway that reaches no other.
+type alone struct{}
+
+// Ask implements Others.
+func (alone) Ask(context.Context, string, string, int) (Answer, bool) { return Answer{}, false }
+
+// Changed implements Others.
+func (alone) Changed(string, string) {}
 
 // Answer is what an owner tells of its job.
 type Answer struct {
@@ -280,8 +295,8 @@
 	if len(results) > after || (!head.Open() && len(results) >= head.Results) {
 		return head, results, nil
 	}
-	if head.Open() && head.Owner != "" && manager.ask != nil {
-		if answer, ok := manager.ask(ctx, head.Owner, head.ID, len(results)); ok && answer.Head.Results >= len(results) {
+	if head.Open() && head.Owner != "" && head.Owner != manager.name {
+		if answer, ok := manager.others.Ask(ctx, head.Owner, head.ID, len(results)); ok && answer.Head.Results >= len(results) {
 			return manager.learn(head, results, answer)
 		}
 	}
@@ -421,7 +436,10 @@
 	manager.mutex.Lock()
 	owned := manager.keep(after)
 	manager.mutex.Unlock()
-	if owned != nil && !owned.adopt(after) {
+	switch {
+	case owned == nil && after.Owner != manager.name:
+		manager.others.Changed(after.Owner, after.ID)
+	case owned != nil && !owned.adopt(after):
 		owned.stop()
 	}
 }
--- a/internal/gate/batch/job.go
+++ b/internal/gate/batch/job.go
@@ -17,7 +17,7 @@
 const (
 	// groupTime is how long results are gathered before they are written: a write
 	// costs the store as much as any, and results are due many seconds later.
-	groupTime = 500 * time.Millisecond
+	groupTime = time.Second
 	// commitRetry is the pause after results could not be written.
 	commitRetry = 250 * time.Millisecond
 )
--- a/internal/gate/batch/manager.go
+++ b/internal/gate/batch/manager.go
@@ -19,11 +19,11 @@
 )
 
 const (
-	// headsWait and headsPace set how the heads are followed: a change, such as
-	// the end of a job, is seen within about a second, and a burst of changes
-	// costs one call.
-	headsWait = 1500 * time.Millisecond
-	headsPace = 600 * time.Millisecond
+	// headsWait and headsPace set how the heads are followed: a burst of changes
+	// costs one call. What must be known sooner is asked of the job's owner, or
+	// told it.
+	headsWait = 4 * time.Second
+	headsPace = 1800 * time.Millisecond
 	// lookPeriod is how often jobs without an owner are looked for.
 	lookPeriod = 300 * time.Millisecond
 	// retainFor is how long a job's records are kept after its submission, which
@@ -81,7 +81,7 @@
 	changed chan struct{}
 	// heardAt is when the heads were last confirmed by the store.
 	heardAt time.Time
-	ask     Asker
+	others  Others
 }
 
 // Option changes how a manager is built.
@@ -92,9 +92,10 @@
 	return func(manager *Manager) { manager.failure = failure }
 }
 
-// WithAsker sets what asks other gateways for the jobs that they own.
-func WithAsker(ask Asker) Option {
-	return func(manager *Manager) { manager.ask = ask }
+// WithOthers sets how other gateways are asked and told of the jobs that they
+// own.
+func WithOthers(others Others) Option {
+	return func(manager *Manager) { manager.others = others }
 }
 
 // New returns the manager of one process of a gateway.
@@ -103,7 +104,7 @@
 		name: self.Name, instance: self.Instance, region: self.Region, clock: clock, vault: &vault{store: store, clock: clock},
 		runner: runner, rules: holder, fleet: fleet, failure: func(error) {}, fingerprint: fingerprint,
 		heads: make(map[string]entry), jobs: make(map[string]*job), taking: make(map[string]bool), views: make(map[string]*view),
-		changed: make(chan struct{}),
+		changed: make(chan struct{}), others: alone{},
 	}
 	manager.ctx, manager.stop = context.WithCancel(context.Background())
 	for _, option := range options {
@@ -302,12 +303,26 @@
 func (manager *Manager) refetch(ctx context.Context, id string) {
 	seen, err := manager.vault.head(ctx, id)
 	if err != nil {
-		klog.V(1).InfoS("job head not read", "job", id, "error", err.Error())
+		klog.InfoS("job head not read", "job", id, "error", err.Error())
 		return
 	}
 	manager.mutex.Lock()
-	defer manager.mutex.Unlock()
-	manager.keep(seen)
+	owned := manager.keep(seen)
+	manager.mutex.Unlock()
+	if owned != nil && !owned.adopt(seen) {
+		klog.InfoS("job is no longer run here", "job", id, "epoch", seen.Epoch, "state", seen.State)
+		owned.stop()
+	}
+}
+
+// Changed looks at a job of this gateway that another one has changed.
+func (manager *Manager) Changed(ctx context.Context, id string) {
+	manager.mutex.Lock()
+	owned := manager.jobs[id]
+	manager.mutex.Unlock()
+	if owned != nil {
+		manager.refetch(ctx, id)
+	}
 }
 
 // begin runs a job that this gateway owns; the mutex is held.
--- a/internal/gate/feeds/config.go
+++ b/internal/gate/feeds/config.go
@@ -14,9 +14,9 @@
 
 const (
 	// pollWait is how long one poll waits for a change. A poll whose connection
-	// has lost its peer ends soon after, which must leave time to apply a
-	// change within the 3 s that operators are promised.
-	pollWait = 1500 * time.Millisecond
+	// has lost its peer ends soon after; until then, the other gateways tell that
+	// there is a newer configuration.
+	pollWait = 4 * time.Second
 	// pollPause is the time after a failed poll.
 	pollPause = 200 * time.Millisecond
 )
--- a/internal/gate/feeds/targets.go
+++ b/internal/gate/feeds/targets.go
@@ -18,9 +18,9 @@
 	lapseGrace = 2200 * time.Millisecond
 	// sweepPeriod is how often entries in their grace are looked at.
 	sweepPeriod = 200 * time.Millisecond
-	// targetsPace is the least time between two polls of the registry, in which
-	// a target's load doesn't show.
-	targetsPace = 100 * time.Millisecond
+	// targetsPace is the least time between two polls of the list. It is taken off
+	// the seconds that a leaving target still serves.
+	targetsPace = 300 * time.Millisecond
 )
 
 // Targets follows the list of targets.
--- a/internal/gate/gossip/gossip.go
+++ b/internal/gate/gossip/gossip.go
@@ -35,19 +35,29 @@
 )
 
 const (
-	// nearPeriod is the time between two messages to a gateway of the same
-	// region, which shares targets; farPeriod that to the others.
-	nearPeriod = 100 * time.Millisecond
-	farPeriod  = 500 * time.Millisecond
+	// tick is the time between two messages to a gateway of the same zone, which
+	// shares targets.
+	tick = 100 * time.Millisecond
+	// regionPeriod and remotePeriod are the times between two messages to gateways
+	// of other zones, in small fleets. They grow with the number of gateways, so
+	// that a gateway's messages don't: regionCount and remoteCount of them are
+	// told at that pace.
+	regionPeriod = 100 * time.Millisecond
+	remotePeriod = 500 * time.Millisecond
+	regionCount  = 4
+	remoteCount  = 4
+	// allPeriod is the time between two messages with the counts of all active
+	// organisations.
+	allPeriod = 500 * time.Millisecond
 	// askTimeout bounds one exchange.
 	askTimeout = 500 * time.Millisecond
 	// aliveFor is how long a gateway counts as alive after it was heard.
-	aliveFor = 1500 * time.Millisecond
+	aliveFor = 2500 * time.Millisecond
 	// forgetAfter is how long a gateway that isn't a member is still asked.
 	forgetAfter = 15 * time.Second
 	// goneAfter is how long a gateway that isn't a member must have been silent
 	// before its work is taken over.
-	goneAfter = 2500 * time.Millisecond
+	goneAfter = 3500 * time.Millisecond
 	// admitFor is how long a gateway that isn't heard keeps its part of the
 	// organisations' rates. It may be cut off from this one only.
 	admitFor = 6 * time.Second
@@ -75,6 +85,12 @@
 	Counts map[string]tally.Count
 }
 
+// Ack is the answer to a State.
+type Ack struct {
+	Version uint64
+	Hears   bool
+}
+
 // Source is what a gateway tells of itself and takes from others.
 type Source interface {
 	// Held returns the calls that it has at each target, Hear takes another's.
@@ -107,6 +123,10 @@
 	member member.Member
 	state  State
 	heard  time.Time
+	// told and toldAll are when it was last sent a message, and one with the
+	// counts of all organisations.
+	told    time.Time
+	toldAll time.Time
 }
 
 // Mesh talks to the other gateways.
@@ -135,19 +155,70 @@
 
 // Serve talks until ctx ends.
 func (mesh *Mesh) Serve(ctx context.Context) error {
-	round := 0
-	return ticks.Every(ctx, mesh.clock, nearPeriod, func(ctx context.Context) {
+	return ticks.Every(ctx, mesh.clock, tick, func(ctx context.Context) {
 		mesh.refresh()
-		far := round%int(farPeriod/nearPeriod) == 0
-		round++
-		for _, other := range mesh.others() {
-			if far || other.Region == mesh.roster.Self().Region {
-				mesh.tell(ctx, other, far)
-			}
+		now := mesh.clock.Now()
+		for _, due := range mesh.due(now) {
+			mesh.tell(ctx, due.member, due.all)
 		}
 	})
 }
 
+// addressee is a gateway to which a message is due.
+type addressee struct {
+	member member.Member
+	all    bool
+}
+
+// due returns the gateways to which a message is due now.
+func (mesh *Mesh) due(now time.Time) (addressees []addressee) {
+	self := mesh.roster.Self()
+	mesh.mutex.Lock()
+	defer mesh.mutex.Unlock()
+	region, remote := mesh.periods()
+	for _, known := range mesh.peers {
+		period := remote
+		switch {
+		case known.member.Zone == self.Zone:
+			period = tick
+		case known.member.Region == self.Region:
+			period = region
+		}
+		if now.Sub(known.told) < period-tick/2 {
+			continue
+		}
+		known.told = now
+		all := now.Sub(known.toldAll) >= allPeriod-tick/2
+		if all {
+			known.toldAll = now
+		}
+		addressees = append(addressees, addressee{member: known.member, all: all})
+	}
+	return addressees
+}
+
+// periods returns the times between two messages to gateways of other zones in
+// this region and in others; the mutex is held.
+func (mesh *Mesh) periods() (region, remote time.Duration) {
+	near, far := 0, 0
+	for _, known := range mesh.peers {
+		if known.member.Region == mesh.roster.Self().Region {
+			near++
+		} else {
+			far++
+		}
+	}
+	return regionPeriod * time.Duration(max(1, near/regionCount)), remotePeriod * time.Duration(max(1, far/remoteCount))
+}
+
+// Delay returns how long what a gateway does may go untold.
+func (mesh *Mesh) Delay() time.Duration {
+	mesh.mutex.Lock()
+	defer mesh.mutex.Unlock()
+	region, remote := mesh.periods()
+	return max(region, remote) + tick
+}
+
 // String names the service in logs.
 func (mesh *Mesh) String() string {
 	return "gateway mesh"
@@ -223,8 +294,8 @@
 	}
 }
 
-// tell sends this gateway's state to another and takes the other's, unless an
-// exchange with it is still on its way.
+// tell sends this gateway's state to another, unless an exchange with it is still
+// on its way.
 func (mesh *Mesh) tell(ctx context.Context, to member.Member, all bool) {
 	mesh.mutex.Lock()
 	busy := mesh.asking[to.Name]
@@ -241,12 +312,11 @@
 		}()
 		ctx, cancel := context.WithTimeout(ctx, askTimeout)
 		defer cancel()
-		var reply State
+		var reply Ack
 		if err := mesh.node.Ask(ctx, to.Address, KindState, mesh.own(all), &reply); err != nil {
 			klog.V(2).InfoS("gateway not heard", "gateway", to.Name, "error", err.Error())
 			return
 		}
-		mesh.hear(reply)
 		mesh.catchUp(ctx, to, reply)
 	}()
 }
@@ -266,16 +336,16 @@
 }
 
 // catchUp takes what the other knows and this gateway can't learn from the store.
-func (mesh *Mesh) catchUp(ctx context.Context, from member.Member, state State) {
-	if state.Version > mesh.source.Version() {
+func (mesh *Mesh) catchUp(ctx context.Context, from member.Member, ack Ack) {
+	if ack.Version > mesh.source.Version() {
 		var data []byte
 		if err := mesh.node.Ask(ctx, from.Address, KindConfig, mesh.source.Version(), &data); err != nil {
-			klog.InfoS("newer configuration not received", "gateway", from.Name, "version", state.Version, "error", err.Error())
+			klog.InfoS("newer configuration not received", "gateway", from.Name, "version", ack.Version, "error", err.Error())
 		} else if len(data) > 0 {
 			mesh.source.OfferConfig(data)
 		}
 	}
-	if !state.Hears || mesh.source.Silent() < silentFor {
+	if !ack.Hears || mesh.source.Silent() < silentFor {
 		return
 	}
 	var records []agatestage.Record
@@ -393,7 +463,7 @@
 		return errors.Errorf("%s speaks as %s", from.Host, state.Name)
 	}
 	mesh.hear(state)
-	return stream.Send(mesh.own(true))
+	return stream.Send(Ack{Version: mesh.source.Version(), Hears: mesh.source.Silent() == 0})
 }
 
 func (mesh *Mesh) serveConfig(_ context.Context, _ certs.Identity, stream *link.Stream) error {
--- a/internal/limit/tally/tally.go
+++ b/internal/limit/tally/tally.go
@@ -45,12 +45,9 @@
 	// startFraction is the part of the burst that a gateway which knows nothing
 	// assumes.
 	startFraction = 0.5
-	// toldDelay is how long a request may go untold: the period of messages
-	// between regions and their way.
-	toldDelay = 600 * time.Millisecond
-	// heardFor is how long after its last message a gateway counts as heard: two
-	// periods of messages between regions.
-	heardFor = time.Second
+	// heardPeriods is how many messages of a gateway may be missing before it
+	// counts as not heard.
+	heardPeriods = 2
 	// pacedTime is for how long a gateway's part of the rate can be saved up.
 	pacedTime = 300 * time.Millisecond
 	// demandDecay is the time constant of the measured demand.
@@ -109,6 +106,8 @@
 	// gateways returns the names of the other gateways that admit requests, as far
 	// as is known.
 	gateways func() []string
+	// delay is how long a request may go untold.
+	delay    func() time.Duration
 	mutex    sync.Mutex
 	accounts map[string]*account
 	peers    map[string]*peer
@@ -116,10 +115,11 @@
 }
 
 // New returns a tally that knows nothing yet. Gateways names the other gateways
-// that may admit requests, heard or not.
-func New(clock agatestage.Clock, rates agatestage.RateSource, gateways func() []string) *Tally {
+// that may admit requests, heard or not; delay is how long a request there may go
+// untold.
+func New(clock agatestage.Clock, rates agatestage.RateSource, gateways func() []string, delay func() time.Duration) *Tally {
 	return &Tally{
-		clock: clock, rates: rates, gateways: gateways,
+		clock: clock, rates: rates, gateways: gateways, delay: delay,
 		accounts: make(map[string]*account), peers: make(map[string]*peer), swept: clock.Now(),
 	}
 }
@@ -142,7 +142,7 @@
 	tally.fill(account, rate, others, now)
 	account.pace(rate, part, now)
 	account.arrive(now)
-	if account.level < 1 || (account.paced < 1 && account.level-1 < account.reserve(rate, others)) {
+	if account.level < 1 || (account.paced < 1 && account.level-1 < account.reserve(rate, others, tally.delay())) {
 		return account.refuse(organisation, rate, part)
 	}
 	account.level--
@@ -178,12 +178,12 @@
 }
 
 // reserve returns the level below which only a part of the rate is admitted.
-func (account *account) reserve(rate agatestage.Rate, others []string) float64 {
+func (account *account) reserve(rate agatestage.Rate, others []string, delay time.Duration) float64 {
 	demand := 0.0
 	for _, name := range others {
 		demand += account.others[name]
 	}
-	return max(0, min(burst(rate)-1, max(burst(rate)*reserveFraction, demand*toldDelay.Seconds()))-tolerance)
+	return max(0, min(burst(rate)-1, max(burst(rate)*reserveFraction, demand*delay.Seconds()))-tolerance)
 }
 
 // fill brings the estimate of the bucket up to now. Gateways that aren't heard
@@ -194,7 +194,7 @@
 		sum += account.others[name] + 1
 	}
 	for _, name := range others {
-		if known := tally.peers[name]; known == nil || now.Sub(known.heard) > heardFor {
+		if known := tally.peers[name]; known == nil || now.Sub(known.heard) > heardPeriods*tally.delay() {
 			share -= (account.others[name] + 1) / sum
 		}
 	}
--- a/internal/limit/tally/tally_test.go
+++ b/internal/limit/tally/tally_test.go
@@ -24,6 +24,8 @@
 	organisation = "org"
 	// step is the resolution of the played time.
 	step = 10 * time.Millisecond
+	// toldDelay is the longest period of messages here and their way.
+	toldDelay = 600 * time.Millisecond
 	// window, overage and slack are the users' rule: in any window, at most
 	// (rate × window + burst) × (1 + overage) + slack are admitted.
 	window  = 5 * time.Second
@@ -89,7 +91,7 @@
 			}
 		}
 		return names
-	})
+	}, func() time.Duration { return toldDelay })
 }
 
 // play offers requests at each gateway's rate for a time.
