gate: test scheduling and relaying, and write logs without blocking

Cause: the new packages had no tests; klog writes synchronously, and a stuck reader of the log would hold requests up; a failure that a target answers twice could pass for the answer to the next attempt of the same call.

--- a/cmd/agatestage/gateway.go
+++ b/cmd/agatestage/gateway.go
@@ -9,6 +9,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/agatestage/agatestage"
+	"github.com/agatestage/agatestage/internal/base/logs"
 	"github.com/agatestage/agatestage/internal/base/setup"
 	"github.com/agatestage/agatestage/internal/gate/start"
 	"github.com/agatestage/agatestage/platform"
@@ -25,6 +26,7 @@
 	if err != nil {
 		return err
 	}
+	defer logs.Install(os.Stdout, agatestage.SystemClock()).Close()
 	ctx, release := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer release()
 	reload := make(chan os.Signal, 1)
--- a/cmd/agatestage/keeper.go
+++ b/cmd/agatestage/keeper.go
@@ -10,6 +10,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/agatestage/agatestage"
+	"github.com/agatestage/agatestage/internal/base/logs"
 	"github.com/agatestage/agatestage/internal/base/setup"
 	"github.com/agatestage/agatestage/internal/gate/keeper"
 	"github.com/agatestage/agatestage/platform"
@@ -26,6 +27,7 @@
 	if err != nil {
 		return err
 	}
+	defer logs.Install(os.Stdout, agatestage.SystemClock()).Close()
 	// A keeper has nothing to reload; the signal must only not end it.
 	signal.Ignore(syscall.SIGHUP)
 	ctx, release := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
--- a/internal/gate/relay/attempt.go
+++ b/internal/gate/relay/attempt.go
@@ -131,7 +131,11 @@
 	if err != nil {
 		return run.cut(ctx, guard, err)
 	}
-	answer.Close()
+	if answer.Status < http.StatusBadRequest {
+		// A faulty target may answer a failure twice, and the second answer would
+		// pass for that to another attempt of the same call.
+		answer.Close()
+	}
 	whole := &held{status: answer.Status, header: answer.Header, body: body}
 	if answer.Status >= http.StatusInternalServerError && !run.result.Begun {
 		end := broke(agatestage.CodeTargetFailed, http.StatusText(answer.Status))
--- a/internal/gate/sched/queue.go
+++ b/internal/gate/sched/queue.go
@@ -88,3 +88,11 @@
 	refusal.RetryAfter = max(minRetryAfter, expected)
 	return refusal
 }
+
+// Waiting returns how many calls of a service wait for a slot.
+func (scheduler *Scheduler) Waiting(name string) int {
+	scheduler.mutex.Lock()
+	defer scheduler.mutex.Unlock()
+	entry := scheduler.service(name)
+	return len(entry.online) + len(entry.batch)
+}
--- /dev/null
+++ b/internal/gate/sched/sched_test.go
@@ -0,0 +1,286 @@
+package sched_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+	"github.com/pkg/errors"
+	clocktest "k8s.io/utils/clock/testing"
+
+	"github.com/agatestage/agatestage"
+	"github.com/agatestage/agatestage/internal/gate/sched"
+)
+
+func TestSched(t *testing.T) {
+	gomega.RegisterFailHandler(ginkgo.Fail)
+	ginkgo.RunSpecs(t, "sched")
+}
+
+const (
+	service = "service"
+	slots   = 4
+	// patience is how long the calls of these tests may wait.
+	patience = 200 * time.Millisecond
+)
+
+// endpoint makes a target.
+func endpoint(id, region, zone string) agatestage.Endpoint {
+	return agatestage.Endpoint{ID: id, Service: service, Region: region, Zone: zone, Slots: slots}
+}
+
+// play is a scheduler in zone "a" of region "near" whose targets are local-0 to
+// local-1 in its zone, which are its home, region-0 in zone "b", and remote-0 in
+// the other region.
+type play struct {
+	*sched.Scheduler
+	clock *clocktest.FakeClock
+	down  []string
+}
+
+func newPlay() *play {
+	play := &play{clock: clocktest.NewFakeClock(time.Unix(1000, 0))}
+	play.Scheduler = sched.New(play.clock, "near", "a", sched.WithDown(func(endpoint agatestage.Endpoint) {
+		play.down = append(play.down, endpoint.ID)
+	}))
+	play.Apply([]agatestage.Endpoint{
+		endpoint("local-0", "near", "a"), endpoint("local-1", "near", "a"), endpoint("region-0", "near", "b"), endpoint("remote-0", "far", "c"),
+	})
+	play.SetHomes(map[string]bool{"local-0": true, "local-1": true})
+	return play
+}
+
+// online takes a slot for an online call.
+func (play *play) online(exclude ...string) *sched.Ticket {
+	ginkgo.GinkgoHelper()
+	ticket, err := play.Acquire(context.Background(), sched.Ask{Service: service, Patience: patience, Exclude: exclude})
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	return ticket
+}
+
+// batch takes a slot for a batch call, or returns nil if there is none now.
+func (play *play) batch() *sched.Ticket {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	ticket, err := play.Acquire(ctx, sched.Ask{Service: service, Batch: true})
+	if err != nil {
+		return nil
+	}
+	return ticket
+}
+
+// fill takes slots for batch calls until there is none left, and returns how many
+// each target got.
+func (play *play) fill() (tickets []*sched.Ticket, counts map[string]int) {
+	counts = make(map[string]int)
+	for ticket := play.batch(); ticket != nil; ticket = play.batch() {
+		tickets = append(tickets, ticket)
+		counts[ticket.Target.ID]++
+	}
+	return tickets, counts
+}
+
+// expectRefused checks that a call gets no slot, and returns its refusal.
+func (play *play) expectRefused(ask sched.Ask, code agatestage.Code) *agatestage.Refusal {
+	ginkgo.GinkgoHelper()
+	ask.Service = service
+	_, err := play.Acquire(context.Background(), ask)
+	var refusal *agatestage.Refusal
+	gomega.Expect(errors.As(err, &refusal)).To(gomega.BeTrue())
+	gomega.Expect(refusal.Code).To(gomega.Equal(code))
+	gomega.Expect(refusal.Ran).To(gomega.Equal(agatestage.RanNo))
+	gomega.Expect(refusal.RetryAfter).To(gomega.BeNumerically(">", 0))
+	return refusal
+}
+
+var _ = ginkgo.Describe("an online call", func() {
+	ginkgo.It("goes to the least loaded target of its zone, then to its region, then further", func() {
+		play := newPlay()
+		counts := make(map[string]int)
+		for range 2 * slots {
+			counts[play.online().Target.ID]++
+		}
+		gomega.Expect(counts).To(gomega.Equal(map[string]int{"local-0": slots, "local-1": slots}))
+		gomega.Expect(play.online().Target.ID).To(gomega.Equal("region-0"))
+		for range slots - 2 {
+			gomega.Expect(play.online().Target.ID).To(gomega.Equal("region-0"))
+		}
+		gomega.Expect(play.online().Target.ID).To(gomega.Equal("remote-0"))
+	})
+	ginkgo.It("ends a batch call at home rather than wait or leave its region", func() {
+		play := newPlay()
+		tickets, counts := play.fill()
+		gomega.Expect(counts["local-0"] + counts["local-1"]).To(gomega.Equal(2*slots - 1))
+		local := play.online()
+		gomega.Expect(local.Target.Zone).To(gomega.Equal("a"))
+		for range slots - 2 {
+			play.online()
+		}
+		yielded := 0
+		next := play.online()
+		for _, ticket := range tickets {
+			select {
+			case <-ticket.Yield():
+				yielded++
+				gomega.Expect(ticket.Target.ID).To(gomega.Equal(next.Target.ID))
+			default:
+			}
+		}
+		gomega.Expect(yielded).To(gomega.Equal(1))
+	})
+	ginkgo.It("never goes to a target that leaves, is down or was excluded", func() {
+		play := newPlay()
+		leaving := endpoint("local-0", "near", "a")
+		leaving.Draining = true
+		play.Apply([]agatestage.Endpoint{leaving, endpoint("local-1", "near", "a"), endpoint("region-0", "near", "b")})
+		play.Down("local-1")
+		gomega.Expect(play.down).To(gomega.Equal([]string{"local-1"}))
+		gomega.Expect(play.online().Target.ID).To(gomega.Equal("region-0"))
+		play.expectRefused(sched.Ask{Patience: patience, Exclude: []string{"region-0"}}, agatestage.CodeNoTarget)
+		play.Up("local-1")
+		gomega.Expect(play.online().Target.ID).To(gomega.Equal("local-1"))
+	})
+	ginkgo.It("is refused at once when the queue is longer than its patience", func() {
+		play := newPlay()
+		for range 4 * slots {
+			play.online()
+		}
+		waiting := 0
+		for ; waiting < 100; waiting++ {
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			done := make(chan error, 1)
+			before := play.Waiting(service)
+			go func() {
+				_, err := play.Acquire(ctx, sched.Ask{Service: service, Patience: patience})
+				done <- err
+			}()
+			var refused error
+			gomega.Eventually(func() bool {
+				select {
+				case refused = <-done:
+					return true
+				default:
+					return play.Waiting(service) > before
+				}
+			}).Should(gomega.BeTrue())
+			if refused != nil {
+				break
+			}
+		}
+		gomega.Expect(waiting).To(gomega.BeNumerically(">", 0))
+		gomega.Expect(waiting).To(gomega.BeNumerically("<", 3*slots))
+		refusal := play.expectRefused(sched.Ask{Patience: patience}, agatestage.CodeBusy)
+		gomega.Expect(refusal.RetryAfter).To(gomega.BeNumerically(">", patience))
+	})
+	ginkgo.It("gets the slot that is given back before one of lower rank that waits longer", func() {
+		play := newPlay()
+		held := make([]*sched.Ticket, 0, 4*slots)
+		for range 4 * slots {
+			held = append(held, play.online())
+		}
+		order := make(chan int, 2)
+		for _, priority := range []int{2, 0} {
+			before := play.Waiting(service)
+			go func() {
+				defer ginkgo.GinkgoRecover()
+				_, err := play.Acquire(context.Background(), sched.Ask{Service: service, Priority: priority, Patience: time.Hour})
+				gomega.Expect(err).NotTo(gomega.HaveOccurred())
+				order <- priority
+			}()
+			gomega.Eventually(func() int { return play.Waiting(service) }).Should(gomega.Equal(before + 1))
+		}
+		held[0].Release(false)
+		gomega.Expect(<-order).To(gomega.Equal(0))
+		held[1].Release(false)
+		gomega.Expect(<-order).To(gomega.Equal(2))
+	})
+	ginkgo.It("avoids a target that fails its calls", func() {
+		play := newPlay()
+		for range 10 {
+			ticket := play.online("local-1", "region-0", "remote-0")
+			ticket.Release(true)
+		}
+		for range slots {
+			gomega.Expect(play.online().Target.ID).To(gomega.Equal("local-1"))
+		}
+	})
+})
+
+var _ = ginkgo.Describe("a batch call", func() {
+	ginkgo.It("leaves room at the targets of other gateways", func() {
+		play := newPlay()
+		_, counts := play.fill()
+		gomega.Expect(counts["region-0"]).To(gomega.BeNumerically("<=", 1))
+		gomega.Expect(counts["remote-0"]).To(gomega.BeNumerically("<=", 1))
+	})
+	ginkgo.It("gives way at another gateway's target that has become full", func() {
+		play := newPlay()
+		tickets, _ := play.fill()
+		play.Hear("other", map[string]sched.Held{"region-0": {Online: slots}, "remote-0": {Online: slots}})
+		for _, ticket := range tickets {
+			if ticket.Target.Zone != "a" {
+				gomega.Expect(ticket.Yield()).To(gomega.BeClosed())
+			}
+		}
+	})
+	ginkgo.It("waits while online calls wait, and goes by its due time", func() {
+		play := newPlay()
+		for range 4 * slots {
+			play.online()
+		}
+		first := make(chan string, 2)
+		for i, due := range []time.Duration{time.Minute, time.Second} {
+			go func() {
+				defer ginkgo.GinkgoRecover()
+				_, err := play.Acquire(context.Background(), sched.Ask{Service: service, Batch: true, Due: play.clock.Now().Add(due)})
+				gomega.Expect(err).NotTo(gomega.HaveOccurred())
+				first <- due.String()
+			}()
+			gomega.Eventually(func() int { return play.Waiting(service) }).Should(gomega.Equal(i + 1))
+		}
+		play.Apply([]agatestage.Endpoint{endpoint("new", "near", "a")})
+		play.SetHomes(map[string]bool{"new": true})
+		gomega.Expect([]string{<-first, <-first}).To(gomega.ConsistOf("1s", "1m0s"))
+	})
+})
+
+var _ = ginkgo.Describe("what other gateways tell", func() {
+	ginkgo.It("counts while it is fresh", func() {
+		play := newPlay()
+		full := map[string]sched.Held{"local-0": {Online: slots}, "local-1": {Online: slots}}
+		play.Hear("other", full)
+		gomega.Expect(play.online().Target.ID).To(gomega.Equal("region-0"))
+		play.clock.Step(time.Minute)
+		gomega.Expect(play.online().Target.Zone).To(gomega.Equal("a"))
+	})
+	ginkgo.It("includes what this one tells", func() {
+		play := newPlay()
+		ticket := play.online()
+		gomega.Expect(play.Held()).To(gomega.Equal(map[string]sched.Held{ticket.Target.ID: {Online: 1}}))
+		ticket.Release(false)
+		ticket.Release(false)
+		gomega.Expect(play.Held()).To(gomega.BeEmpty())
+	})
+})
+
+var _ = ginkgo.Describe("a new incarnation", func() {
+	ginkgo.It("starts without the calls of the one before", func() {
+		play := newPlay()
+		for range slots {
+			play.online("local-1", "region-0", "remote-0")
+		}
+		again := endpoint("local-0", "near", "a")
+		again.Started = time.Unix(2000, 0)
+		play.Apply([]agatestage.Endpoint{again})
+		gomega.Expect(play.Held()).To(gomega.BeEmpty())
+		gomega.Expect(play.online().Target.Started).To(gomega.Equal(again.Started))
+	})
+	ginkgo.It("is looked at less and less often while it is down", func() {
+		gomega.Expect(sched.Backoff(0)).To(gomega.BeNumerically("<", sched.Backoff(2)))
+		gomega.Expect(sched.Backoff(100)).To(gomega.Equal(sched.Backoff(50)), fmt.Sprint(sched.Backoff(50)))
+	})
+})
