gate: run batch items that can still be in time first, and hold requests while a gateway starts

Requests that come in the first 0.7 s of a gateway were refused.

Change: items that can't be done in time go last; batch calls use targets of other gateways down to two free slots in the region and three elsewhere; requests wait up to 400 ms for a gateway that starts.

--- a/internal/gate/sched/place.go
+++ b/internal/gate/sched/place.go
@@ -50,7 +50,7 @@
 		choice = entry.best(ask, now, spareMargin, func(target *target) bool { return !target.home && target.tier != tierRemote })
 	}
 	if choice == nil {
-		choice = entry.best(ask, now, spareMargin, func(target *target) bool { return !target.home })
+		choice = entry.best(ask, now, remoteMargin, func(target *target) bool { return !target.home })
 	}
 	if choice == nil {
 		return nil
--- a/internal/gate/sched/queue.go
+++ b/internal/gate/sched/queue.go
@@ -1,35 +1,34 @@
 package sched
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
 	"github.com/agatestage/agatestage"
 )
 
-// line is the waiting online calls in their order.
-type line []*waiter
-
-// queue returns the waiting calls that an ask would have to pass.
-func (entry *service) queue(batch bool) line {
-	if batch {
-		return entry.batch
+// before reports whether a waiting call goes before a new one; the mutex is held.
+func (entry *service) before(ask Ask, now time.Time) bool {
+	if ask.Batch {
+		return len(entry.batch) > 0 && !goesBefore(ask, entry.batch[0].ask, now)
 	}
-	return entry.online
+	return len(entry.online) > 0 && entry.online[0].ask.Priority <= ask.Priority
 }
 
-// before reports whether a waiting call goes before a new one.
-func (line line) before(ask Ask) bool {
-	return len(line) > 0 && line[0].ask.Priority <= ask.Priority
+// goesBefore reports whether a batch call goes before another one: those that can
+// be done in time first, each by its due time.
+func goesBefore(a, b Ask, now time.Time) bool {
+	return cmp.Or(cmp.Compare(lateness(a, now), lateness(b, now)), a.Due.Compare(b.Due)) < 0
 }
 
 // push adds a waiter behind those of the same rank.
-func (entry *service) push(waiting *waiter) {
+func (entry *service) push(waiting *waiter, now time.Time) {
 	queue := &entry.online
 	after := func(other *waiter) bool { return other.ask.Priority > waiting.ask.Priority }
 	if waiting.ask.Batch {
 		queue = &entry.batch
-		after = func(other *waiter) bool { return other.ask.Due.After(waiting.ask.Due) }
+		after = func(other *waiter) bool { return goesBefore(waiting.ask, other.ask, now) }
 	}
 	at := slices.IndexFunc(*queue, after)
 	if at < 0 {
--- a/internal/gate/sched/sched.go
+++ b/internal/gate/sched/sched.go
@@ -13,6 +13,7 @@
 package sched
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"sync"
@@ -25,9 +26,11 @@
 	// staleMargin is how many slots must be free at a target that isn't this
 	// gateway's home, as the others' counts are some hundred milliseconds old.
 	staleMargin = 2
-	// spareMargin is the same for batch calls, which must leave room for the
-	// online calls of the target's own gateway.
-	spareMargin = 4
+	// spareMargin and remoteMargin are the same for batch calls in this region and
+	// in others, whose links are narrow. They give way as soon as they are told
+	// that the target is full.
+	spareMargin  = 2
+	remoteMargin = 3
 	// reserved is how many slots batch calls leave free over all homes, for
 	// online calls that arrive while none is given back.
 	reserved = 1
@@ -35,6 +38,9 @@
 	holdWeight = 0.05
 	// defaultHold is that mean before the first call has ended.
 	defaultHold = 500 * time.Millisecond
+	// batchRun is how long before its due time a batch call must begin to be done
+	// in time: the longest items of the users' sheets run for twice the mean of 4 s.
+	batchRun = 4 * time.Second
 	// minRetryAfter is the shortest time after which a refused caller is told to
 	// come back: below it, the refusal and the new connection take as long.
 	minRetryAfter = 50 * time.Millisecond
@@ -197,7 +203,7 @@
 	scheduler.mutex.Lock()
 	now := scheduler.clock.Now()
 	entry := scheduler.service(ask.Service)
-	if queued := entry.queue(ask.Batch); ask.Batch || !queued.before(ask) {
+	if !entry.before(ask, now) {
 		if ticket := scheduler.place(entry, ask, now); ticket != nil {
 			scheduler.mutex.Unlock()
 			return ticket, nil
@@ -210,7 +216,7 @@
 		}
 	}
 	waiting := &waiter{ask: ask, since: now, ticket: make(chan *Ticket, 1)}
-	entry.push(waiting)
+	entry.push(waiting, now)
 	scheduler.mutex.Unlock()
 	return scheduler.wait(ctx, entry, waiting)
 }
@@ -291,8 +297,12 @@
 	}
 }
 
-// dispatch gives free slots to waiting calls; the mutex is held.
+// dispatch gives free slots to waiting calls; the mutex is held. Batch calls that
+// can't be done in time any more go behind all that can.
 func (scheduler *Scheduler) dispatch(entry *service, now time.Time) {
+	slices.SortStableFunc(entry.batch, func(a, b *waiter) int {
+		return cmp.Compare(lateness(a.ask, now), lateness(b.ask, now))
+	})
 	for _, queue := range []*[]*waiter{&entry.online, &entry.batch} {
 		kept := (*queue)[:0]
 		for _, waiting := range *queue {
@@ -307,6 +317,14 @@
 	}
 }
 
+// lateness is 0 for calls that can be done in time and 1 for the others.
+func lateness(ask Ask, now time.Time) int {
+	if !ask.Due.IsZero() && now.Add(batchRun).After(ask.Due) {
+		return 1
+	}
+	return 0
+}
+
 // Down notes that a target couldn't be reached. The prober that OnDown starts
 // calls Up when it can.
 func (scheduler *Scheduler) Down(id string) {
--- a/internal/gate/start/start.go
+++ b/internal/gate/start/start.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/netip"
 	"reflect"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -36,6 +37,12 @@
 const (
 	// joinPause is the time between two tries to reach the store at the start.
 	joinPause = 250 * time.Millisecond
+	// startWait is how long a request waits for a gateway that starts, and when its
+	// caller may come back after that: the store's answers take 4 ms and a round
+	// trip between regions.
+	startWait = 400 * time.Millisecond
+	// readyPeriod is how often a gateway that starts looks whether it is ready.
+	readyPeriod = 20 * time.Millisecond
 	// sweepPeriod is how often idle connections to targets are looked at.
 	sweepPeriod = 250 * time.Millisecond
 	// headerTime bounds how long a caller may take to send a request's head; the
@@ -61,7 +68,8 @@
 	metrics  *http.Server
 	idle     *idleTracker
 	parts    *parts
-	onParts  func(*parts)
+	// knows is closed once the configuration and the targets are known.
+	knows chan struct{}
 }
 
 // parts are what a gateway is made of once it has reached the store.
@@ -77,7 +85,7 @@
 // New returns a gateway that listens, and isn't ready before Run has reached
 // the store.
 func New(settings setup.Settings, adapter Adapter, clock agatestage.Clock) *Gateway {
-	gateway := &Gateway{settings: settings, clock: clock, adapter: adapter, tree: super.New("gateway"), idle: newIdleTracker(clock)}
+	gateway := &Gateway{settings: settings, clock: clock, adapter: adapter, tree: super.New("gateway"), idle: newIdleTracker(clock), knows: make(chan struct{})}
 	gateway.drain.Store(&settings.Drain)
 	return gateway
 }
@@ -115,15 +123,8 @@
 
 // listen binds the addresses. Callers are refused until the gateway is ready.
 func (gateway *Gateway) listen() error {
-	var handler atomic.Pointer[parts]
 	gateway.caller = &http.Server{
-		Handler: http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
-			if parts := handler.Load(); parts != nil {
-				parts.handler.ServeHTTP(writer, request)
-				return
-			}
-			writer.WriteHeader(http.StatusServiceUnavailable)
-		}),
+		Handler:           http.HandlerFunc(gateway.serve),
 		ReadHeaderTimeout: headerTime,
 		ConnState:         gateway.idle.follow,
 	}
@@ -131,7 +132,6 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("/metrics", func(writer http.ResponseWriter, _ *http.Request) { metrics.WritePrometheus(writer, true) })
 	gateway.metrics = &http.Server{Handler: mux, ReadHeaderTimeout: headerTime}
-	gateway.onParts = func(parts *parts) { handler.Store(parts) }
 	for _, bind := range []struct {
 		name    string
 		address netip.AddrPort
@@ -150,6 +150,27 @@
 	return nil
 }
 
+// serve passes a caller's request on. One that comes while the gateway starts
+// waits for a moment, as the store answers within that.
+func (gateway *Gateway) serve(writer http.ResponseWriter, request *http.Request) {
+	select {
+	case <-gateway.knows:
+	default:
+		timer := gateway.clock.NewTimer(startWait)
+		defer timer.Stop()
+		select {
+		case <-gateway.knows:
+		case <-timer.C():
+			writer.Header().Set("Retry-After", strconv.FormatFloat(startWait.Seconds(), 'f', -1, 64))
+			writer.WriteHeader(http.StatusServiceUnavailable)
+			return
+		case <-request.Context().Done():
+			return
+		}
+	}
+	gateway.parts.handler.ServeHTTP(writer, request)
+}
+
 // join gets the gateway's certificate, for which it needs the store.
 func (gateway *Gateway) join(ctx context.Context) (*certs.Bundle, error) {
 	for {
@@ -211,7 +232,6 @@
 
 // start lets callers in.
 func (gateway *Gateway) start() {
-	gateway.onParts(gateway.parts)
 	klog.InfoS("gateway starts", "name", gateway.settings.Name, "zone", gateway.settings.Zone, "region", gateway.settings.Region,
 		"callers", gateway.settings.Listen.Caller, "peers", gateway.settings.Listen.Peer, "metrics", gateway.settings.Listen.Metrics)
 }
@@ -221,11 +241,12 @@
 func (gateway *Gateway) awaitReady(ctx context.Context) {
 	for ctx.Err() == nil {
 		if gateway.parts.view.holder.Current() != nil && gateway.parts.view.targets.Listed() {
+			close(gateway.knows)
 			gateway.ready.Store(true)
 			klog.InfoS("gateway ready", "version", gateway.parts.view.Version())
 			return
 		}
-		ticks.Wait(ctx, gateway.clock, sweepPeriod)
+		ticks.Wait(ctx, gateway.clock, readyPeriod)
 	}
 }
 
