gate/batch: hand unfinished items over with their events

Ruled out: writing progress with each group of results (a megabyte a second to the store, paid by volume between zones).

Change: a planned stop writes what there is of unfinished items beside the head; the next owner goes on after their last events. A gateway that has just started takes only its own jobs for 1.5 s.

--- a/internal/gate/batch/access.go
+++ b/internal/gate/batch/access.go
@@ -170,7 +170,7 @@
 	defer manager.mutex.Unlock()
 	manager.keep(accepted)
 	if manager.jobs[spec.ID] == nil && !manager.draining {
-		manager.begin(accepted, spec.Items, nil)
+		manager.begin(accepted, spec.Items, nil, nil)
 	}
 }
 
--- a/internal/gate/batch/batch_test.go
+++ b/internal/gate/batch/batch_test.go
@@ -43,6 +43,8 @@
 	after map[string]int64
 	serve func(item string, run int) relay.Result
 	hold  chan struct{}
+	// pause holds back every run of an item after its first.
+	pause chan struct{}
 }
 
 func newEngine() *engine {
@@ -56,6 +58,9 @@
 	engine.mutex.Lock()
 	engine.runs[call.ID]++
 	run, hold := engine.runs[call.ID], engine.hold
+	if run > 1 && engine.pause != nil {
+		hold = engine.pause
+	}
 	engine.after[call.ID] = plan.After
 	engine.mutex.Unlock()
 	if hold != nil {
@@ -256,6 +261,27 @@
 		close(place.engine.hold)
 		expectDone(heir, spec)
 	})
+	ginkgo.It("is handed over with the events of its unfinished items", func() {
+		place := newPlace()
+		place.fleet.set(first, second)
+		owner, _ := place.start(first)
+		heir, _ := place.start(second)
+		place.engine.serve = func(_ string, run int) relay.Result {
+			if run == 1 {
+				return relay.Result{Status: http.StatusOK, Yielded: true, Refusal: agatestage.Refuse(agatestage.CodeYielded, "yielded")}
+			}
+			return relay.Result{Status: http.StatusOK}
+		}
+		place.engine.pause = make(chan struct{})
+		spec := place.spec("job", 1)
+		gomega.Expect(owner.Submit(context.Background(), spec)).To(gomega.Succeed())
+		gomega.Eventually(func() int { return place.engine.count("job-0") }, patience).Should(gomega.Equal(2))
+		place.fleet.set(second)
+		owner.Drain(context.Background())
+		close(place.engine.pause)
+		result := expectDone(heir, spec)[0]
+		gomega.Expect(string(result.Output)).To(gomega.Equal("job-0-1\njob-0-2\njob-0-3\njob-0-4"))
+	})
 	ginkgo.It("that ends stays as it is", func() {
 		place := newPlace()
 		place.fleet.set(first, second)
--- a/internal/gate/batch/job.go
+++ b/internal/gate/batch/job.go
@@ -33,6 +33,8 @@
 	listed []Result
 	ready  []Result
 	done   map[string]bool
+	// sinks gather the unfinished items' events.
+	sinks map[string]*collector
 	// changed is closed when more results are listed or the job has ended.
 	changed chan struct{}
 	wake    chan struct{}
@@ -42,7 +44,7 @@
 
 func newJob(manager *Manager, owned entry, items []Item, listed []Result) *job {
 	job := &job{
-		manager: manager, entry: owned, items: items, listed: listed, done: make(map[string]bool),
+		manager: manager, entry: owned, items: items, listed: listed, done: make(map[string]bool), sinks: make(map[string]*collector),
 		changed: make(chan struct{}), wake: make(chan struct{}, 1), idle: make(chan struct{}),
 	}
 	for _, result := range listed {
@@ -58,9 +60,15 @@
 	var items sync.WaitGroup
 	for i := range job.items {
 		item := &job.items[i]
-		if !job.done[item.ID] {
-			items.Go(func() { job.run(ctx, item) })
+		if job.done[item.ID] {
+			continue
 		}
+		sink := job.sinks[item.ID]
+		if sink == nil {
+			sink = &collector{}
+			job.sinks[item.ID] = sink
+		}
+		items.Go(func() { job.run(ctx, item, sink) })
 	}
 	go func() {
 		defer close(job.idle)
@@ -212,8 +220,10 @@
 // release writes the results that wait and gives the job to another gateway.
 func (job *job) release(ctx context.Context) {
 	job.cancel()
+	var progress []Progress
 	select {
 	case <-job.idle:
+		progress = job.progress()
 	case <-ctx.Done():
 	}
 	for job.waiting() > 0 && ctx.Err() == nil {
@@ -233,11 +243,38 @@
 	}
 	head := before.Head
 	head.Owner, head.Instance = "", ""
-	if _, err := job.manager.vault.write(ctx, before, head); err != nil {
+	data, err := encodeProgress(progress)
+	if err != nil {
+		klog.ErrorS(err, "progress of items not handed over", "job", head.ID)
+	}
+	var writes []agatestage.Write
+	if head.Progress = err == nil && len(progress) > 0; head.Progress {
+		writes = append(writes, agatestage.Write{Key: progressPrefix + head.ID, Value: data})
+	}
+	if _, err = job.manager.vault.write(ctx, before, head, writes...); err != nil {
 		klog.InfoS("job not handed over; it is taken over after a while", "job", head.ID, "error", err.Error())
 		return
 	}
-	klog.InfoS("job handed over", "job", head.ID, "results", head.Results, "items", head.Items)
+	klog.InfoS("job handed over", "job", head.ID, "results", head.Results, "items", head.Items, "begun", len(progress))
+}
+
+// progress returns what there is of unfinished items, after their runs have
+// ended.
+func (job *job) progress() (all []Progress) {
+	for _, item := range job.items {
+		sink := job.sinks[item.ID]
+		if !job.done[item.ID] && sink != nil && sink.number > 0 {
+			all = append(all, Progress{ID: item.ID, Number: sink.number, Text: sink.text})
+		}
+	}
+	return all
+}
+
+// resume takes what the last owner has handed over of unfinished items.
+func (job *job) resume(all []Progress) {
+	for _, progress := range all {
+		job.sinks[progress.ID] = &collector{text: progress.Text, number: progress.Number}
+	}
 }
 
 // item returns an item of the job by its ID.
--- a/internal/gate/batch/manager.go
+++ b/internal/gate/batch/manager.go
@@ -81,6 +81,7 @@
 	changed chan struct{}
 	// heardAt is when the heads were last confirmed by the store.
 	heardAt time.Time
+	began   time.Time
 	others  Others
 }
 
@@ -104,7 +105,7 @@
 		name: self.Name, instance: self.Instance, region: self.Region, clock: clock, vault: &vault{store: store, clock: clock},
 		runner: runner, rules: holder, fleet: fleet, failure: func(error) {}, fingerprint: fingerprint,
 		heads: make(map[string]entry), jobs: make(map[string]*job), taking: make(map[string]bool), views: make(map[string]*view),
-		changed: make(chan struct{}), others: alone{},
+		changed: make(chan struct{}), others: alone{}, began: clock.Now(),
 	}
 	manager.ctx, manager.stop = context.WithCancel(context.Background())
 	for _, option := range options {
@@ -240,6 +241,10 @@
 	}
 }
 
+// settleTime is how long after its start a gateway leaves other gateways' jobs
+// alone: until it has heard which gateways there are, it would take them all.
+const settleTime = 1500 * time.Millisecond
+
 // mine reports whether this gateway is the one to take the job over.
 func (manager *Manager) mine(head entry, alive []Gateway) bool {
 	if head.Owner == manager.name && head.Instance == manager.instance {
@@ -248,6 +253,12 @@
 	if head.Owner != "" && !manager.fleet.Gone(head.Owner, head.Instance) {
 		return false
 	}
+	if head.Owner == manager.name {
+		return true
+	}
+	if manager.clock.Since(manager.began) < settleTime {
+		return false
+	}
 	near := slices.DeleteFunc(slices.Clone(alive), func(gateway Gateway) bool { return gateway.Region != head.Region })
 	if len(near) == 0 {
 		near = alive
@@ -265,7 +276,7 @@
 func (manager *Manager) take(ctx context.Context, orphan entry) {
 	defer manager.taken(orphan.ID)
 	head := orphan.Head
-	head.Owner, head.Instance, head.Epoch = manager.name, manager.instance, head.Epoch+1
+	head.Owner, head.Instance, head.Epoch, head.Progress = manager.name, manager.instance, head.Epoch+1, false
 	taken, err := manager.vault.write(ctx, orphan, head)
 	if errors.Is(err, errMoved) {
 		manager.refetch(ctx, head.ID)
@@ -280,6 +291,13 @@
 	if items, err = manager.vault.items(ctx, head); err == nil {
 		listed, err = manager.vault.results(ctx, head, 0)
 	}
+	var progress []Progress
+	if orphan.Progress {
+		var progressErr error
+		if progress, progressErr = manager.vault.progress(ctx, head.ID); progressErr != nil {
+			klog.InfoS("unfinished items begin anew", "job", head.ID, "error", progressErr.Error())
+		}
+	}
 	manager.mutex.Lock()
 	defer manager.mutex.Unlock()
 	manager.keep(taken)
@@ -288,8 +306,8 @@
 		klog.InfoS("job taken over but not read", "job", head.ID, "error", err.Error())
 		return
 	}
-	klog.InfoS("job taken over", "job", head.ID, "from", orphan.Owner, "epoch", head.Epoch, "results", head.Results, "items", head.Items)
-	manager.begin(taken, items, listed)
+	klog.InfoS("job taken over", "job", head.ID, "from", orphan.Owner, "epoch", head.Epoch, "results", head.Results, "items", head.Items, "begun", len(progress))
+	manager.begin(taken, items, listed, progress)
 }
 
 // taken lets others look after a job again.
@@ -326,8 +344,9 @@
 }
 
 // begin runs a job that this gateway owns; the mutex is held.
-func (manager *Manager) begin(owned entry, items []Item, listed []Result) {
+func (manager *Manager) begin(owned entry, items []Item, listed []Result, progress []Progress) {
 	job := newJob(manager, owned, items, listed)
+	job.resume(progress)
 	manager.jobs[owned.ID] = job
 	job.start()
 }
--- a/internal/gate/batch/run.go
+++ b/internal/gate/batch/run.go
@@ -44,8 +44,7 @@
 }
 
 // run runs one item until it has a result or ctx ends.
-func (job *job) run(ctx context.Context, item *Item) {
-	sink := &collector{}
+func (job *job) run(ctx context.Context, item *Item, sink *collector) {
 	var tries attempts
 	for ctx.Err() == nil {
 		route, known, ok := job.route(item)
@@ -59,6 +58,7 @@
 			return
 		}
 		result := job.send(ctx, item, route, sink)
+		sink.number = max(sink.number, result.Last)
 		if ctx.Err() != nil {
 			return
 		}
@@ -105,7 +105,6 @@
 // judge decides what a run means for its item. It returns the item's result, if
 // it has one now.
 func (job *job) judge(item *Item, route *rules.Route, sink *collector, run *relay.Result, tries *attempts) (Result, bool) {
-	sink.number = max(sink.number, run.Last)
 	switch {
 	case run.Refusal == nil && run.Status == http.StatusOK:
 		return Result{ID: item.ID, Output: sink.output()}, true
--- a/internal/gate/batch/vault.go
+++ b/internal/gate/batch/vault.go
@@ -115,6 +115,15 @@
 	return results, nil
 }
 
+// progress reads what a planned stop has handed over.
+func (vault *vault) progress(ctx context.Context, id string) (all []Progress, err error) {
+	record, err := vault.store.Get(ctx, progressPrefix+id)
+	if err != nil {
+		return nil, errors.Wrapf(err, "read progress of job %s", id)
+	}
+	return all, errors.Wrap(cbor.Unmarshal(record.Value, &all), "decode progress")
+}
+
 // maxWrites is how many records one transaction may change.
 const maxWrites = 32
 
@@ -127,6 +136,7 @@
 	for chunk := range old.Chunks {
 		writes = append(writes, agatestage.Write{Key: chunkKey(old.ID, chunk), Remove: true})
 	}
+	writes = append(writes, agatestage.Write{Key: progressPrefix + old.ID, Remove: true})
 	condition := []agatestage.Condition{{Key: headKey(old.ID), Version: old.version}}
 	for len(writes) >= maxWrites {
 		if _, err := vault.store.Commit(ctx, condition, writes[:maxWrites]); err != nil {
