gate/batch: ask the last owner of a job that is done

Cause: on the grown site most store calls are reads of chunks: each gateway that is asked for a job that is done reads every chunk of it.

Change: the last owner answers for jobs that have ended, too.

--- a/internal/gate/batch/access.go
+++ b/internal/gate/batch/access.go
@@ -295,7 +295,7 @@
 	if len(results) > after || (!head.Open() && len(results) >= head.Results) {
 		return head, results, nil
 	}
-	if head.Open() && head.Owner != "" && head.Owner != manager.name {
+	if head.Owner != "" && head.Owner != manager.name {
 		if answer, ok := manager.others.Ask(ctx, head.Owner, head.ID, len(results)); ok && answer.Head.Results >= len(results) {
 			return manager.learn(head, results, answer)
 		}
@@ -346,15 +346,22 @@
 	return cached
 }
 
-// Tell answers another gateway's question about a job that is run here.
+// Tell answers another gateway's question about a job that is run here, or was
+// until it had ended.
 func (manager *Manager) Tell(id string, after int) (Answer, bool) {
 	manager.mutex.Lock()
-	owned := manager.jobs[id]
+	owned, seen := manager.jobs[id], manager.heads[id]
+	var results []Result
+	if cached := manager.views[id]; cached != nil {
+		results = cached.results
+	}
 	manager.mutex.Unlock()
-	if owned == nil {
+	switch {
+	case owned != nil:
+		seen, results, _ = owned.view()
+	case seen.Owner != manager.name || seen.Open() || len(results) != seen.Results:
 		return Answer{}, false
 	}
-	seen, results, _ := owned.view()
 	if after > len(results) {
 		return Answer{}, false
 	}
