--- a/internal/fake/fault/faults.go
+++ b/internal/fake/fault/faults.go
@@ -20,6 +20,8 @@
 	BytesPerSecond int
 	// Cut drops everything, of old and new connections alike.
 	Cut bool
+	// CutBack drops what comes back from the target, of streams only.
+	CutBack bool
 	// Pipe is a link that this relay shares with others.
 	Pipe *Pipe
 }
--- a/internal/fake/fault/tcp.go
+++ b/internal/fake/fault/tcp.go
@@ -17,6 +17,7 @@
 
 	listener net.Listener
 	target   netip.AddrPort
+	open     map[net.Conn]bool
 }
 
 // NewTCP returns a relay to target on a free loopback port.
@@ -25,7 +26,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "bind relay")
 	}
-	return &TCP{state: newState(seed), listener: listener, target: target}, nil
+	return &TCP{state: newState(seed), listener: listener, target: target, open: make(map[net.Conn]bool)}, nil
 }
 
 // Address returns where the relay listens.
@@ -53,6 +54,8 @@
 		return
 	}
 	_, generation := relay.now()
+	relay.track(inner, true)
+	defer relay.track(inner, false)
 	stop := context.AfterFunc(ctx, func() {
 		_ = inner.Close()
 		_ = outer.Close()
@@ -64,6 +67,28 @@
 	relay.copy(ctx, inner, outer, 1, generation)
 }
 
+// track remembers the open connections.
+func (relay *TCP) track(inner net.Conn, open bool) {
+	relay.mutex.Lock()
+	defer relay.mutex.Unlock()
+	if open {
+		relay.open[inner] = true
+	} else {
+		delete(relay.open, inner)
+	}
+}
+
+// Reset resets all open connections.
+func (relay *TCP) Reset() {
+	relay.mutex.Lock()
+	defer relay.mutex.Unlock()
+	for inner := range relay.open {
+		// Without lingering, closing sends a reset.
+		_ = inner.(*net.TCPConn).SetLinger(0)
+		_ = inner.Close()
+	}
+}
+
 // copy passes bytes on until either end closes. Once silent, it passes neither
 // bytes nor the end.
 func (relay *TCP) copy(ctx context.Context, to, from net.Conn, direction, generation int) {
@@ -71,7 +96,7 @@
 	for {
 		n, err := from.Read(buffer)
 		faults, current := relay.now()
-		if faults.Cut || current > generation {
+		if faults.Cut || (faults.CutBack && direction == 1) || current > generation {
 			<-ctx.Done()
 			return
 		}
