--- a/internal/gate/batch/batch_test.go
+++ b/internal/gate/batch/batch_test.go
@@ -231,6 +231,25 @@
 		gomega.Expect(ok).To(gomega.BeTrue())
 		gomega.Expect(answer.Head.Owner).To(gomega.Equal(second.Name))
 	})
+	ginkgo.It("moves to a gateway with less to do once its own is crowded", func() {
+		place := newPlace()
+		crowded, idle := first, second
+		crowded.Slots, idle.Slots, idle.Backlog = 10, 10, 100
+		place.fleet.set(crowded, idle)
+		taker, _ := place.start(first)
+		runner, _ := place.start(second)
+		place.engine.hold = make(chan struct{})
+		spec := place.spec("job", 4)
+		gomega.Expect(taker.Submit(context.Background(), spec)).To(gomega.Succeed())
+		crowded.Backlog, idle.Backlog = 100, 0
+		place.fleet.set(crowded, idle)
+		gomega.Eventually(func() bool {
+			_, ok := runner.Tell("job", 0)
+			return ok
+		}, patience).Should(gomega.BeTrue())
+		close(place.engine.hold)
+		expectDone(taker, spec)
+	})
 	ginkgo.It("stays where it came in unless another gateway has clearly less to do", func() {
 		place := newPlace()
 		near, far := first, second
--- a/internal/gate/batch/job.go
+++ b/internal/gate/batch/job.go
@@ -43,12 +43,15 @@
 	wake    chan struct{}
 	stopped bool
 	idle    chan struct{}
+	// began is when this gateway began with the job.
+	began time.Time
 }
 
 func newJob(manager *Manager, owned entry, items []Item, listed []Result) *job {
 	job := &job{
 		manager: manager, head: owned.Head, entry: owned, items: items, listed: listed, done: make(map[string]bool), sinks: make(map[string]*collector),
 		changed: make(chan struct{}), wake: make(chan struct{}, 1), idle: make(chan struct{}),
+		began: manager.clock.Now(),
 	}
 	for _, result := range listed {
 		job.done[result.ID] = true
@@ -227,8 +230,9 @@
 	return seen.Open()
 }
 
-// release writes the results that wait and gives the job to another gateway.
-func (job *job) release(ctx context.Context) {
+// release writes the results that wait and gives the job to another gateway, or
+// to any if none is named.
+func (job *job) release(ctx context.Context, to Gateway) {
 	job.cancel()
 	var progress []Progress
 	select {
@@ -252,7 +256,7 @@
 		return
 	}
 	head := before.Head
-	head.Owner, head.Instance = "", ""
+	head.Owner, head.Instance = to.Name, to.Instance
 	data, err := encodeProgress(progress)
 	if err != nil {
 		klog.ErrorS(err, "progress of items not handed over", "job", head.ID)
@@ -261,11 +265,16 @@
 	if head.Progress = err == nil && len(progress) > 0; head.Progress {
 		writes = append(writes, agatestage.Write{Key: progressPrefix + head.ID, Value: data})
 	}
-	if _, err = job.manager.vault.write(ctx, before, head, writes...); err != nil {
+	after, err := job.manager.vault.write(ctx, before, head, writes...)
+	if err != nil {
 		klog.InfoS("job not handed over; it is taken over after a while", "job", head.ID, "error", err.Error())
 		return
 	}
-	klog.InfoS("job handed over", "job", head.ID, "results", head.Results, "items", head.Items, "begun", len(progress))
+	job.manager.note(after)
+	if to.Name != "" {
+		job.manager.others.Changed(to.Name, head.ID)
+	}
+	klog.InfoS("job handed over", "job", head.ID, "to", to.Name, "results", head.Results, "items", head.Items, "begun", len(progress))
 }
 
 // progress returns what there is of unfinished items, after their runs have
@@ -287,7 +296,14 @@
 	}
 }
 
-// item returns an item of the job by its ID.
+// left returns how many items have no result.
+func (job *job) left() int {
+	job.mutex.Lock()
+	defer job.mutex.Unlock()
+	return len(job.items) - len(job.done)
+}
+
+// itemOf returns an item by its ID.
 func itemOf(items []Item, id string) (*Item, bool) {
 	for i := range items {
 		if items[i].ID == id {
--- a/internal/gate/batch/manager.go
+++ b/internal/gate/batch/manager.go
@@ -129,10 +129,11 @@
 // Serve follows the heads and takes over jobs until ctx ends.
 func (manager *Manager) Serve(ctx context.Context) error {
 	go func() {
-		// Both end with ctx only.
+		// All end with ctx only.
 		_ = ticks.Every(ctx, manager.clock, lookPeriod, manager.look)
 	}()
 	go func() { _ = ticks.Every(ctx, manager.clock, sweepPeriod, manager.sweep) }()
+	go func() { _ = ticks.Every(ctx, manager.clock, balancePeriod, manager.balance) }()
 	var revision uint64
 	return watch.Follow(ctx, manager.vault.store, manager.clock, headPrefix, func(_ context.Context, records []agatestage.Record, whole bool) error {
 		manager.follow(records, whole, revision)
@@ -374,7 +375,7 @@
 	manager.mutex.Unlock()
 	var releases sync.WaitGroup
 	for _, owned := range jobs {
-		releases.Go(func() { owned.release(ctx) })
+		releases.Go(func() { owned.release(ctx, Gateway{}) })
 	}
 	releases.Wait()
 	manager.stop()
