gate/relay: pass on the head of a stream that goes on after its last event

Change: the head is passed on at the end if no event was. The case fails without the change.

Measured: internal/gate/relay: fails without, passes with.

--- a/internal/gate/relay/attempt.go
+++ b/internal/gate/relay/attempt.go
@@ -185,19 +185,29 @@
 		return end
 	}
 	answer.Close()
+	if err := run.begin(answer); err != nil {
+		return outcome{done: true, refusal: gone(err)}
+	}
 	return outcome{done: true}
 }
 
+// begin passes the head of a stream on, once. A stream that goes on after its
+// last event has a head only.
+func (run *run) begin(answer *conns.Answer) error {
+	if run.result.Begun {
+		return nil
+	}
+	run.result.Begun, run.result.Status, run.result.First = true, answer.Status, run.clock.Now()
+	return run.sink.Head(answer.Status, answer.Header, -1)
+}
+
 // forward passes events on, with the head before the first.
 func (run *run) forward(answer *conns.Answer, events []byte) error {
 	if len(events) == 0 {
 		return nil
 	}
-	if !run.result.Begun {
-		run.result.Begun, run.result.Status, run.result.First = true, answer.Status, run.clock.Now()
-		if err := run.sink.Head(answer.Status, answer.Header, -1); err != nil {
-			return err
-		}
+	if err := run.begin(answer); err != nil {
+		return err
 	}
 	return run.sink.Data(events)
 }
--- a/internal/gate/relay/relay_test.go
+++ b/internal/gate/relay/relay_test.go
@@ -389,6 +389,19 @@
 		expectAnswer(result, sink, http.StatusOK, series(1, 6))
 		gomega.Expect(second.after).To(gomega.Equal([]string{"3"}))
 	})
+	ginkgo.It("that is cut after its last event and before its end is whole once it has been resumed", func() {
+		cut := newTarget(func(exchange *exchange) bool {
+			exchange.events(1, 6)
+			return false
+		})
+		result, sink := newPlay(cut, newTarget(streaming)).serve(stream())
+		expectAnswer(result, sink, http.StatusOK, series(1, 6))
+		plan := stream()
+		plan.After = 6
+		result, sink = newPlay(newTarget(streaming)).serve(plan)
+		expectAnswer(result, sink, http.StatusOK, "")
+		gomega.Expect(result.Status).To(gomega.Equal(http.StatusOK))
+	})
 	ginkgo.It("that may be resumed goes on elsewhere when its target falls silent", func() {
 		stalling := newTarget(func(exchange *exchange) bool {
 			exchange.events(1, 2)
