gate/batch: keep an item's batch route though a narrower route begins with its path

Change: an item's route is sought among batch routes. A case with such a route fails before (the item is given up) and passes now.

--- a/internal/gate/batch/batch_test.go
+++ b/internal/gate/batch/batch_test.go
@@ -417,6 +417,26 @@
 		place.configure(3, "/other/")
 		gomega.Expect(expectDone(owner, spec)[0].Failed).To(gomega.BeTrue())
 	})
+	ginkgo.It("keeps its route when another one begins with its path", func() {
+		place := newPlace()
+		place.fleet.set(first)
+		owner, _ := place.start(first)
+		place.engine.hold = make(chan struct{})
+		spec := place.spec("job", 1)
+		gomega.Expect(owner.Submit(context.Background(), spec)).To(gomega.Succeed())
+		place.holder.Offer(rules.New(rules.Content{Version: 2, Routes: []rules.Route{
+			{Name: "batch", Host: host, Prefix: prefix, Kind: rules.KindBatch, Attempts: attempts, Shares: []rules.Share{{Service: "service"}}},
+			{Name: "narrow", Host: host, Prefix: prefix + "0", Kind: rules.KindStream, Shares: []rules.Share{{Service: "other"}}},
+		}}), "test")
+		place.engine.serve = func(_ string, run int) relay.Result {
+			if run == 1 {
+				return relay.Result{Yielded: true, Refusal: agatestage.Refuse(agatestage.CodeYielded, "yielded")}
+			}
+			return relay.Result{Status: http.StatusOK}
+		}
+		close(place.engine.hold)
+		gomega.Expect(expectDone(owner, spec)[0].Failed).To(gomega.BeFalse())
+	})
 	ginkgo.It("is given up after the failures that its route allows", func() {
 		place := newPlace()
 		place.fleet.set(first)
--- a/internal/gate/batch/run.go
+++ b/internal/gate/batch/run.go
@@ -80,8 +80,8 @@
 		return nil, false, false
 	}
 	path, _, _ := strings.Cut(item.Path, "?")
-	route, ok = snapshot.Match(job.head.Host, path)
-	return route, true, ok && route.Kind == rules.KindBatch
+	route, ok = snapshot.MatchBatch(job.head.Host, path)
+	return route, true, ok
 }
 
 // send runs the item once, from where it was cut before.
--- a/internal/gate/rules/rules.go
+++ b/internal/gate/rules/rules.go
@@ -191,6 +191,18 @@
 	return nil, false
 }
 
+// MatchBatch returns the batch route of a job's item: the one with the longest
+// prefix of the path among the host's batch routes, whatever other routes begin
+// there.
+func (snapshot *Snapshot) MatchBatch(host, path string) (*Route, bool) {
+	for _, route := range snapshot.hosts[host] {
+		if route.Kind == KindBatch && strings.HasPrefix(path, route.Prefix) {
+			return route, true
+		}
+	}
+	return nil, false
+}
+
 // HasHost reports whether any route has the host.
 func (snapshot *Snapshot) HasHost(host string) bool {
 	return len(snapshot.hosts[host]) > 0
