--- a/internal/gate/start/start.go
+++ b/internal/gate/start/start.go
@@ -30,6 +30,7 @@
 	"github.com/agatestage/agatestage/internal/limit/tally"
 	"github.com/agatestage/agatestage/internal/route/blame"
 	"github.com/agatestage/agatestage/internal/state/member"
+	"github.com/agatestage/agatestage/internal/state/watch"
 	"github.com/agatestage/agatestage/internal/trust/certs"
 	"github.com/agatestage/agatestage/internal/wire/link"
 )
@@ -37,6 +38,10 @@
 const (
 	// joinPause is the time between two tries to reach the store at the start.
 	joinPause = 250 * time.Millisecond
+	// memberWait and memberPace set how the members are followed; which of them are
+	// alive, gateways tell one another.
+	memberWait = 15 * time.Second
+	memberPace = time.Second
 	// startWait is how long a request waits for a gateway that starts, and when its
 	// caller may come back after that: the store's answers take 4 ms and a round
 	// trip between regions.
@@ -196,7 +201,7 @@
 	instance := uuid.NewString()[:instanceLength]
 	store := adapter.Store()
 	self := member.Member{Name: settings.Name, Region: settings.Region, Zone: settings.Zone, Address: node.Address()}
-	roster := member.New(store, clock, self)
+	roster := member.New(store, clock, self, member.WithPolls(watch.WithWait(memberWait), watch.WithPace(memberPace)))
 	pool := conns.New(clock)
 	holder := rules.NewHolder(clock)
 	contact := feeds.NewContact(clock)
--- a/internal/state/member/roster.go
+++ b/internal/state/member/roster.go
@@ -58,11 +58,20 @@
 	heard   time.Time
 	changed chan struct{}
 	left    bool
+	polls   []watch.Option
+}
+
+// Option changes how a roster is built.
+type Option func(*Roster)
+
+// WithPolls sets how the members are followed.
+func WithPolls(polls ...watch.Option) Option {
+	return func(roster *Roster) { roster.polls = polls }
 }
 
 // New returns a roster that knows only its own member.
-func New(store agatestage.Store, clock agatestage.Clock, self Member) *Roster {
-	return &Roster{
+func New(store agatestage.Store, clock agatestage.Clock, self Member, options ...Option) *Roster {
+	roster := &Roster{
 		store:   store,
 		clock:   clock,
 		self:    self,
@@ -70,6 +79,10 @@
 		known:   map[string]netip.AddrPort{},
 		changed: make(chan struct{}),
 	}
+	for _, option := range options {
+		option(roster)
+	}
+	return roster
 }
 
 // Self returns this entry's member.
@@ -226,7 +239,7 @@
 	return watch.Follow(ctx, roster.store, roster.clock, prefix, func(_ context.Context, records []agatestage.Record, whole bool) error {
 		roster.apply(records, whole)
 		return nil
-	})
+	}, roster.polls...)
 }
 
 // String names the service in logs.
