--- a/internal/gate/sched/place.go
+++ b/internal/gate/sched/place.go
@@ -14,13 +14,13 @@
 		return target.tier == tierZone && (target.home || target.others(now) == Held{})
 	})
 	if choice == nil {
-		choice = scheduler.spread(entry, ask, now, staleMargin, func(target *target) bool { return target.tier != tierRemote })
+		choice = entry.best(ask, now, staleMargin, func(target *target) bool { return target.tier != tierRemote })
 	}
 	if choice == nil {
 		choice = entry.preempt(ask, now)
 	}
 	if choice == nil {
-		choice = scheduler.spread(entry, ask, now, staleMargin, func(*target) bool { return true })
+		choice = entry.best(ask, now, staleMargin, func(*target) bool { return true })
 	}
 	if choice == nil {
 		choice = entry.best(ask, now, 1, func(*target) bool { return true })
@@ -47,10 +47,10 @@
 		choice = entry.best(ask, now, 1, func(target *target) bool { return target.home })
 	}
 	if choice == nil {
-		choice = scheduler.spread(entry, ask, now, spareMargin, func(target *target) bool { return !target.home && target.tier != tierRemote })
+		choice = entry.best(ask, now, spareMargin, func(target *target) bool { return !target.home && target.tier != tierRemote })
 	}
 	if choice == nil {
-		choice = scheduler.spread(entry, ask, now, remoteMargin, func(target *target) bool { return !target.home })
+		choice = entry.best(ask, now, remoteMargin, func(target *target) bool { return !target.home })
 	}
 	if choice == nil {
 		return nil
@@ -69,33 +69,6 @@
 	return ticket
 }
 
-// spread returns one of the targets that suit and have at least so many free
-// slots, by lot, each with as many tickets as it has free slots. Gateways that see
-// the same counts, some hundred milliseconds old, would otherwise all choose the
-// same one. Targets that fail many calls come last.
-func (scheduler *Scheduler) spread(entry *service, ask Ask, now time.Time, least int, suits func(*target) bool) *target {
-	for _, poor := range []bool{false, true} {
-		var choices []*target
-		tickets := 0
-		for _, target := range entry.targets {
-			if target.usable() && !slices.Contains(ask.Exclude, target.ID) && target.free(now) >= least && target.poor(now) == poor && suits(target) {
-				choices = append(choices, target)
-				tickets += target.free(now)
-			}
-		}
-		if tickets <= 0 {
-			continue
-		}
-		drawn := scheduler.random.IntN(tickets)
-		for _, target := range choices {
-			if drawn -= target.free(now); drawn < 0 {
-				return target
-			}
-		}
-	}
-	return nil
-}
-
 // best returns the target with the least of its slots in use, among those that
 // suit and have at least so many free. Targets that fail many calls come last.
 func (entry *service) best(ask Ask, now time.Time, least int, suits func(*target) bool) (choice *target) {
--- a/internal/gate/sched/sched.go
+++ b/internal/gate/sched/sched.go
@@ -15,7 +15,6 @@
 import (
 	"cmp"
 	"context"
-	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -99,7 +98,6 @@
 	homes    map[string]bool
 	onDown   func(agatestage.Endpoint)
 	onGone   func(agatestage.Endpoint)
-	random   *rand.Rand
 }
 
 // Option changes how a scheduler is built.
@@ -116,19 +114,12 @@
 	return func(scheduler *Scheduler) { scheduler.onGone = gone }
 }
 
-// WithSeed sets the seed of the lots by which targets of other gateways are
-// chosen; it should differ between gateways.
-func WithSeed(seed uint64) Option {
-	return func(scheduler *Scheduler) { scheduler.random = rand.New(rand.NewPCG(seed, seed)) }
-}
-
 // New returns a scheduler without targets.
 func New(clock agatestage.Clock, region, zone string, options ...Option) *Scheduler {
 	scheduler := &Scheduler{
 		clock: clock, region: region, zone: zone,
 		services: make(map[string]*service), targets: make(map[string]*target), homes: make(map[string]bool),
 		onDown: func(agatestage.Endpoint) {}, onGone: func(agatestage.Endpoint) {},
-		random: rand.New(rand.NewPCG(0, 0)),
 	}
 	for _, option := range options {
 		option(scheduler)
--- a/internal/gate/start/start.go
+++ b/internal/gate/start/start.go
@@ -11,7 +11,6 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
-	"github.com/cespare/xxhash/v2"
 	"github.com/google/uuid"
 	"github.com/pkg/errors"
 	"k8s.io/klog/v2"
@@ -207,7 +206,7 @@
 	holder := rules.NewHolder(clock)
 	contact := feeds.NewContact(clock)
 	prober := &prober{ctx: ctx, clock: clock, pool: pool}
-	scheduler := sched.New(clock, settings.Region, settings.Zone, sched.WithSeed(xxhash.Sum64String(settings.Name+instance)),
+	scheduler := sched.New(clock, settings.Region, settings.Zone,
 		sched.WithDown(prober.watch), sched.WithGone(func(endpoint agatestage.Endpoint) { pool.Forget(endpoint.Address) }))
 	prober.sched = scheduler
 	view := &view{Scheduler: scheduler, holder: holder, contact: contact, blame: blame.New(clock), self: settings.Name}
