--- /dev/null
+++ b/internal/gate/batch/rig_test.go
@@ -0,0 +1,150 @@
+package batch_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"github.com/agatestage/agatestage"
+	"github.com/agatestage/agatestage/internal/fake/store"
+	"github.com/agatestage/agatestage/internal/gate/batch"
+	"github.com/agatestage/agatestage/internal/gate/relay"
+	"github.com/agatestage/agatestage/internal/gate/rules"
+)
+
+// engine plays the targets: it answers each item with what its script says.
+type engine struct {
+	mutex sync.Mutex
+	runs  map[string]int
+	after map[string]int64
+	serve func(item string, run int) relay.Result
+	hold  chan struct{}
+	// pause holds back every run of an item after its first.
+	pause chan struct{}
+}
+
+func newEngine() *engine {
+	return &engine{runs: make(map[string]int), after: make(map[string]int64), serve: func(string, int) relay.Result {
+		return relay.Result{Status: http.StatusOK}
+	}}
+}
+
+// Serve implements batch.Runner. A run that is answered sends two events more.
+func (engine *engine) Serve(ctx context.Context, call *agatestage.Call, plan relay.Plan, sink relay.Sink) relay.Result {
+	engine.mutex.Lock()
+	engine.runs[call.ID]++
+	run, hold := engine.runs[call.ID], engine.hold
+	if run > 1 && engine.pause != nil {
+		hold = engine.pause
+	}
+	engine.after[call.ID] = plan.After
+	engine.mutex.Unlock()
+	if hold != nil {
+		select {
+		case <-hold:
+		case <-ctx.Done():
+			return relay.Result{Refusal: agatestage.Refuse(agatestage.CodeDeadline, "ended")}
+		}
+	}
+	result := engine.serve(call.ID, run)
+	if result.Status == http.StatusOK {
+		gomega.Expect(sink.Head(http.StatusOK, nil, -1)).To(gomega.Succeed())
+		for number := plan.After + 1; number <= plan.After+2; number++ {
+			gomega.Expect(sink.Data(fmt.Appendf(nil, "id: %d\ndata: %s-%d\n\n", number, call.ID, number))).To(gomega.Succeed())
+			result.Last = number
+		}
+	}
+	return result
+}
+
+func (engine *engine) count(item string) int {
+	engine.mutex.Lock()
+	defer engine.mutex.Unlock()
+	return engine.runs[item]
+}
+
+// fleet tells a manager which gateways there are.
+type fleet struct {
+	mutex sync.Mutex
+	alive []batch.Gateway
+}
+
+func (fleet *fleet) Alive() []batch.Gateway {
+	fleet.mutex.Lock()
+	defer fleet.mutex.Unlock()
+	return append([]batch.Gateway(nil), fleet.alive...)
+}
+
+func (fleet *fleet) Gone(name, instance string) bool {
+	for _, gateway := range fleet.Alive() {
+		if gateway.Name == name {
+			return gateway.Instance != instance
+		}
+	}
+	return true
+}
+
+func (*fleet) Silent() time.Duration { return 0 }
+
+// set replaces the gateways that are alive.
+func (fleet *fleet) set(gateways ...batch.Gateway) {
+	fleet.mutex.Lock()
+	defer fleet.mutex.Unlock()
+	fleet.alive = gateways
+}
+
+// place is a store, a configuration and the gateways that use them.
+type place struct {
+	store  *store.Store
+	holder *rules.Holder
+	engine *engine
+	fleet  *fleet
+}
+
+func newPlace() *place {
+	clock := agatestage.SystemClock()
+	place := &place{store: store.New(clock), holder: rules.NewHolder(clock), engine: newEngine(), fleet: &fleet{}}
+	place.configure(1, prefix)
+	return place
+}
+
+// configure puts a configuration with one batch route in force.
+func (place *place) configure(version uint64, prefix string) {
+	place.holder.Offer(rules.New(rules.Content{Version: version, Routes: []rules.Route{{
+		Name: fmt.Sprint("route-", version), Host: host, Prefix: prefix, Kind: rules.KindBatch, Attempts: attempts,
+		Shares: []rules.Share{{Service: "service", Weight: 1}}, Due: time.Minute, GiveUp: time.Hour,
+	}}}), "test")
+}
+
+// start runs a gateway's manager.
+func (place *place) start(gateway batch.Gateway) (*batch.Manager, context.CancelFunc) {
+	manager := batch.New(gateway, place.store, agatestage.SystemClock(), place.engine, place.holder, place.fleet,
+		func(*agatestage.Call) uint64 { return 0 })
+	ctx, cancel := context.WithCancel(context.Background())
+	ginkgo.DeferCleanup(func() {
+		cancel()
+		manager.Close()
+	})
+	go func() { _ = manager.Serve(ctx) }()
+	return manager, func() {
+		cancel()
+		manager.Close()
+	}
+}
+
+func (place *place) spec(id string, items int) batch.Spec {
+	route, ok := place.holder.Current().Match(host, prefix)
+	gomega.Expect(ok).To(gomega.BeTrue())
+	spec := batch.Spec{ID: id, Organisation: organisation, Route: route, Host: host, Arrived: time.Now()}
+	for i := range items {
+		spec.Items = append(spec.Items, batch.Item{
+			ID: fmt.Sprintf("%s-%d", id, i), Path: prefix + fmt.Sprint(i), Header: map[string]string{"A": "1", "B": "2", "C": "3"}, Body: []byte{byte(i)},
+		})
+	}
+	return spec
+}
--- /dev/null
+++ b/internal/gate/batch/submit.go
@@ -0,0 +1,140 @@
+package batch
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+	"k8s.io/klog/v2"
+
+	"github.com/agatestage/agatestage"
+	"github.com/agatestage/agatestage/internal/gate/rules"
+)
+
+// Spec is a job as its caller submits it.
+type Spec struct {
+	ID           string
+	Organisation string
+	Route        *rules.Route
+	Host         string
+	Items        []Item
+	// Arrived is when the submission was read.
+	Arrived time.Time
+}
+
+// canonical encodes equal items to equal bytes, whatever the order of their
+// headers.
+var canonical = mustCanonical()
+
+func mustCanonical() cbor.EncMode {
+	mode, err := cbor.CanonicalEncOptions().EncMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
+func digestOf(items []Item) (string, error) {
+	data, err := canonical.Marshal(items)
+	if err != nil {
+		return "", errors.Wrap(err, "encode items")
+	}
+	sum := sha256.Sum256(data)
+	return hex.EncodeToString(sum[:]), nil
+}
+
+// Submit accepts a job. It is kept from the moment that nil is returned; the
+// same job may be submitted again. A refusal with RanUnknown doesn't say
+// whether it has been accepted.
+func (manager *Manager) Submit(ctx context.Context, spec Spec) error {
+	digest, err := digestOf(spec.Items)
+	if err != nil {
+		return agatestage.Refuse(agatestage.CodeBadRequest, "%v", err)
+	}
+	manager.mutex.Lock()
+	known, ok := manager.heads[spec.ID]
+	draining, busy := manager.draining, manager.taking[spec.ID]
+	if !ok && !draining && !busy {
+		// Nobody else takes the job over between its writing and its beginning.
+		manager.taking[spec.ID] = true
+		defer manager.taken(spec.ID)
+	}
+	manager.mutex.Unlock()
+	switch {
+	case ok:
+		return repeated(known.Head, spec, digest)
+	case draining:
+		return agatestage.Refuse(agatestage.CodeStopping, "this gateway is about to stop")
+	case busy:
+		return unsure("the job can't be kept now", errors.New("it is being submitted already"))
+	}
+	var parts [][]byte
+	if parts, err = splitItems(spec.Items); err != nil {
+		return agatestage.Refuse(agatestage.CodeBadRequest, "%v", err)
+	}
+	giveUp := spec.Route.GiveUp
+	if giveUp <= 0 {
+		giveUp = defaultGiveUp
+	}
+	owner := manager.place(len(spec.Items))
+	head := Head{
+		ID: spec.ID, Organisation: spec.Organisation, Route: spec.Route.Name, Host: spec.Host, Region: manager.region,
+		Items: len(spec.Items), Parts: len(parts), Digest: digest, State: StateOpen,
+		Submitted: spec.Arrived.UTC(), Due: spec.Arrived.Add(spec.Route.Due).UTC(), GiveUp: spec.Arrived.Add(giveUp).UTC(),
+		Owner: owner.Name, Instance: owner.Instance, Epoch: 1,
+	}
+	var writes []agatestage.Write
+	for i, part := range parts {
+		writes = append(writes, agatestage.Write{Key: inputKey(spec.ID, i), Value: part})
+	}
+	accepted, err := manager.vault.write(ctx, entry{}, head, writes...)
+	switch {
+	case err == nil:
+		manager.accept(accepted, spec)
+		return nil
+	case errors.Is(err, errMoved):
+		return manager.repeat(ctx, spec, digest)
+	case errors.Is(err, agatestage.ErrUnavailable):
+		return unsure("the job can't be kept now", err)
+	}
+	klog.InfoS("job submission not acknowledged by the store", "job", spec.ID, "error", err.Error())
+	return &agatestage.Refusal{Code: agatestage.CodeStore, Message: "the store did not say whether it has the job", Ran: agatestage.RanUnknown}
+}
+
+// accept begins a job that has just been written, or tells its owner.
+func (manager *Manager) accept(accepted entry, spec Spec) {
+	klog.InfoS("job accepted", "job", spec.ID, "organisation", spec.Organisation, "route", spec.Route.Name, "items", len(spec.Items),
+		"owner", accepted.Owner, "version", accepted.version)
+	manager.mutex.Lock()
+	defer manager.mutex.Unlock()
+	manager.keep(accepted)
+	if accepted.Owner != manager.name {
+		manager.view(spec.ID).items = spec.Items
+		manager.others.Changed(accepted.Owner, spec.ID)
+		return
+	}
+	if manager.jobs[spec.ID] == nil && !manager.draining {
+		manager.begin(accepted, spec.Items, nil, nil)
+	}
+}
+
+// repeat answers a submission whose job the store has already.
+func (manager *Manager) repeat(ctx context.Context, spec Spec, digest string) error {
+	seen, err := manager.vault.head(ctx, spec.ID)
+	if err != nil {
+		return unsure("the job can't be looked up now", err)
+	}
+	manager.note(seen)
+	return repeated(seen.Head, spec, digest)
+}
+
+// repeated tells the same job from another one with its ID.
+func repeated(head Head, spec Spec, digest string) error {
+	if head.Organisation != spec.Organisation || head.Digest != digest {
+		return agatestage.Refuse(agatestage.CodeConflict, "another job has the ID %s", spec.ID)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/gate/gossip/serve.go
@@ -0,0 +1,48 @@
+package gossip
+
+import (
+	"context"
+
+	"github.com/pkg/errors"
+
+	"github.com/agatestage/agatestage/internal/route/blame"
+	"github.com/agatestage/agatestage/internal/trust/certs"
+	"github.com/agatestage/agatestage/internal/wire/link"
+)
+
+func (mesh *Mesh) serveState(_ context.Context, from certs.Identity, stream *link.Stream) error {
+	var state State
+	if err := stream.Receive(&state); err != nil {
+		return err
+	}
+	if from.Host != state.Name {
+		return errors.Errorf("%s speaks as %s", from.Host, state.Name)
+	}
+	mesh.hear(state)
+	return stream.Send(Ack{Version: mesh.source.Version(), Hears: mesh.source.Silent() == 0})
+}
+
+func (mesh *Mesh) serveConfig(_ context.Context, _ certs.Identity, stream *link.Stream) error {
+	var version uint64
+	if err := stream.Receive(&version); err != nil {
+		return err
+	}
+	return stream.Send(mesh.source.Config())
+}
+
+func (mesh *Mesh) serveTargets(_ context.Context, _ certs.Identity, stream *link.Stream) error {
+	var nothing string
+	if err := stream.Receive(&nothing); err != nil {
+		return err
+	}
+	return stream.Send(mesh.source.Targets())
+}
+
+func (mesh *Mesh) serveStrike(_ context.Context, _ certs.Identity, stream *link.Stream) error {
+	var strike blame.Strike
+	if err := stream.Receive(&strike); err != nil {
+		return err
+	}
+	mesh.source.Strike(strike)
+	return stream.Send(true)
+}
--- a/internal/gate/relay/relay_test.go
+++ b/internal/gate/relay/relay_test.go
@@ -1,10 +1,8 @@
 package relay_test
 
 import (
-	"bufio"
 	"context"
 	"fmt"
-	"net"
 	"net/http"
 	"net/netip"
 	"strconv"
@@ -42,140 +40,6 @@
 	headerNotRun = "Not-Run"
 )
 
-// dialect is a small agatestage.Dialect.
-type dialect struct{}
-
-func (dialect) Encode(call *agatestage.Call, _ agatestage.Endpoint, _ time.Duration, after int64) http.Header {
-	header := http.Header{headerID: {call.ID}}
-	if after > 0 {
-		header.Set("Last-Event-Id", strconv.FormatInt(after, 10))
-	}
-	return header
-}
-
-func (dialect) Judge(call *agatestage.Call, status int, header http.Header) agatestage.Verdict {
-	id := header.Get(headerID)
-	return agatestage.Verdict{
-		Foreign: id != "" && id != call.ID, NotRun: header.Get(headerNotRun) != "",
-		Replaced: status == http.StatusMisdirectedRequest, Genuine: header.Get(headerMark) != "",
-	}
-}
-
-// exchange is one request at a target. Answer writes raw bytes; the connection is
-// closed after the script unless it returns true.
-type exchange struct {
-	conn    net.Conn
-	request *http.Request
-	id      string
-}
-
-func (exchange *exchange) write(format string, args ...any) {
-	_, _ = fmt.Fprintf(exchange.conn, format, args...)
-}
-
-// whole writes an answer with a length.
-func (exchange *exchange) whole(status int, body string, header ...string) bool {
-	exchange.write("HTTP/1.1 %d X\r\n%s: %s\r\n%s: yes\r\nContent-Length: %d\r\n", status, headerID, exchange.id, headerMark, len(body))
-	for _, line := range header {
-		exchange.write("%s\r\n", line)
-	}
-	exchange.write("\r\n%s", body)
-	return true
-}
-
-// events begins a stream and writes the events from one number to another.
-func (exchange *exchange) events(from, to int) {
-	exchange.write("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: yes\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", headerID, exchange.id, headerMark)
-	for number := from; number <= to; number++ {
-		exchange.chunk(event(number))
-	}
-}
-
-func (exchange *exchange) chunk(text string) { exchange.write("%x\r\n%s\r\n", len(text), text) }
-
-func (exchange *exchange) end() bool {
-	exchange.write("0\r\n\r\n")
-	return true
-}
-
-func event(number int) string { return fmt.Sprintf("id: %d\ndata: %d\n\n", number, number) }
-
-func series(from, to int) (text string) {
-	for number := from; number <= to; number++ {
-		text += event(number)
-	}
-	return text
-}
-
-// target is a stand-in whose requests are answered by a script.
-type target struct {
-	listener net.Listener
-	script   func(exchange *exchange) bool
-	mutex    sync.Mutex
-	asked    []string
-	after    []string
-}
-
-func newTarget(script func(exchange *exchange) bool) *target {
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
-	gomega.Expect(err).NotTo(gomega.HaveOccurred())
-	target := &target{listener: listener, script: script}
-	ginkgo.DeferCleanup(func() { _ = listener.Close() })
-	go target.serve()
-	return target
-}
-
-func (target *target) serve() {
-	for {
-		conn, err := target.listener.Accept()
-		if err != nil {
-			return
-		}
-		go target.answer(conn)
-	}
-}
-
-func (target *target) answer(conn net.Conn) {
-	defer conn.Close()
-	reader := bufio.NewReader(conn)
-	for {
-		request, err := http.ReadRequest(reader)
-		if err != nil {
-			return
-		}
-		target.mutex.Lock()
-		target.asked = append(target.asked, request.Header.Get(headerID))
-		target.after = append(target.after, request.Header.Get("Last-Event-Id"))
-		target.mutex.Unlock()
-		if !target.script(&exchange{conn: conn, request: request, id: request.Header.Get(headerID)}) {
-			return
-		}
-	}
-}
-
-func (target *target) requests() int {
-	target.mutex.Lock()
-	defer target.mutex.Unlock()
-	return len(target.asked)
-}
-
-// sink collects an answer.
-type sink struct {
-	status int
-	text   string
-	length int
-}
-
-func (sink *sink) Head(status int, _ http.Header, length int) error {
-	sink.status, sink.length = status, length
-	return nil
-}
-
-func (sink *sink) Data(data []byte) error {
-	sink.text += string(data)
-	return nil
-}
-
 // play is a relay and its targets, the first of which is tried first.
 type play struct {
 	*relay.Relay
@@ -282,7 +146,6 @@
 		return false
 	}
 )
-
 var _ = ginkgo.Describe("a call that may run once", func() {
 	for name, script := range map[string]func(*exchange) bool{"sheds it": shed, "has been replaced": replaced} {
 		ginkgo.It("goes to another target when one "+name, func() {
