gate/start: wire a gateway with fx

Cause: the house style builds on fx; one function of 45 lines made all parts.

Change: a provider for each part; a gateway that is told to stop before it has reached the store ends without an error.

--- a/internal/gate/start/start.go
+++ b/internal/gate/start/start.go
@@ -11,7 +11,6 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
-	"github.com/google/uuid"
 	"github.com/pkg/errors"
 	"k8s.io/klog/v2"
 
@@ -19,29 +18,13 @@
 	"github.com/agatestage/agatestage/internal/base/setup"
 	"github.com/agatestage/agatestage/internal/base/super"
 	"github.com/agatestage/agatestage/internal/base/ticks"
-	"github.com/agatestage/agatestage/internal/gate/batch"
-	"github.com/agatestage/agatestage/internal/gate/conns"
-	"github.com/agatestage/agatestage/internal/gate/feeds"
-	"github.com/agatestage/agatestage/internal/gate/gossip"
-	"github.com/agatestage/agatestage/internal/gate/relay"
 	"github.com/agatestage/agatestage/internal/gate/rules"
-	"github.com/agatestage/agatestage/internal/gate/sched"
-	"github.com/agatestage/agatestage/internal/gate/serve"
-	"github.com/agatestage/agatestage/internal/limit/tally"
-	"github.com/agatestage/agatestage/internal/route/blame"
-	"github.com/agatestage/agatestage/internal/state/member"
-	"github.com/agatestage/agatestage/internal/state/watch"
 	"github.com/agatestage/agatestage/internal/trust/certs"
-	"github.com/agatestage/agatestage/internal/wire/link"
 )
 
 const (
 	// joinPause is the time between two tries to reach the store at the start.
 	joinPause = 250 * time.Millisecond
-	// memberWait and memberPace set how the members are followed; which of them are
-	// alive, gateways tell one another.
-	memberWait = 15 * time.Second
-	memberPace = time.Second
 	// startWait is how long a request waits for a gateway that starts, and when its
 	// caller may come back after that: the store's answers take 4 ms and a round
 	// trip between regions.
@@ -56,8 +39,6 @@
 	// leaveTime bounds what a gateway still writes to the store as it stops; as
 	// much again is kept for the stop itself.
 	leaveTime = time.Second
-	// instanceLength tells the processes of one gateway apart.
-	instanceLength = 12
 )
 
 // Gateway is a running gateway.
@@ -77,16 +58,6 @@
 	knows chan struct{}
 }
 
-// parts are what a gateway is made of once it has reached the store.
-type parts struct {
-	node    *link.Node
-	roster  *member.Roster
-	view    *view
-	mesh    *gossip.Mesh
-	jobs    *batch.Manager
-	handler http.Handler
-}
-
 // New returns a gateway that listens, and isn't ready before Run has reached
 // the store.
 func New(settings setup.Settings, adapter Adapter, clock agatestage.Clock) *Gateway {
@@ -101,15 +72,20 @@
 		return err
 	}
 	bundle, err := gateway.join(ctx)
+	if ctx.Err() != nil {
+		// Told to stop before the store was reached.
+		return nil
+	}
 	if err != nil {
 		return err
 	}
 	work, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	if err = gateway.assemble(work, bundle); err != nil {
+	var parts parts
+	if err = assemble(work, gateway.settings, gateway.adapter, gateway.clock, bundle, &parts); err != nil {
 		return err
 	}
-	gateway.start()
+	gateway.start(&parts)
 	gateway.awaitReady(ctx)
 	<-ctx.Done()
 	gateway.stop()
@@ -173,7 +149,7 @@
 			return
 		}
 	}
-	gateway.parts.handler.ServeHTTP(writer, request)
+	gateway.parts.Handler.ServeHTTP(writer, request)
 }
 
 // join gets the gateway's certificate, for which it needs the store.
@@ -191,52 +167,20 @@
 	}
 }
 
-// assemble makes the parts from the bottom up.
-func (gateway *Gateway) assemble(ctx context.Context, bundle *certs.Bundle) error {
-	settings, clock, adapter := gateway.settings, gateway.clock, gateway.adapter
-	node, err := link.New(settings.Listen.Peer, bundle, link.WithClock(clock))
-	if err != nil {
-		return err
-	}
-	instance := uuid.NewString()[:instanceLength]
-	store := adapter.Store()
-	self := member.Member{Name: settings.Name, Region: settings.Region, Zone: settings.Zone, Address: node.Address()}
-	roster := member.New(store, clock, self, member.WithPolls(watch.WithWait(memberWait), watch.WithPace(memberPace)))
-	pool := conns.New(clock)
-	holder := rules.NewHolder(clock)
-	contact := feeds.NewContact(clock)
-	prober := &prober{ctx: ctx, clock: clock, pool: pool}
-	scheduler := sched.New(clock, settings.Region, settings.Zone,
-		sched.WithDown(prober.watch), sched.WithGone(func(endpoint agatestage.Endpoint) { pool.Forget(endpoint.Address) }))
-	prober.sched = scheduler
-	view := &view{Scheduler: scheduler, holder: holder, contact: contact, blame: blame.New(clock), self: settings.Name}
-	view.config = feeds.NewConfig(store, clock, adapter.ConfigKey(), adapter.Config, holder, contact)
-	view.targets = feeds.NewTargets(store, clock, adapter.TargetPrefix(), adapter.Target, contact, view.Apply)
-	view.mesh = gossip.New(node, roster, instance, clock, view)
-	relay := relay.New(clock, scheduler, pool, adapter, view.blame, relay.WithStrikes(view.mesh.Tell))
-	view.limits = tally.New(clock, holder, view.mesh.Admitting, view.mesh.Delay)
-	jobs := batch.New(batch.Gateway{Name: settings.Name, Instance: instance, Region: settings.Region}, store, clock, relay, holder, view,
-		serve.Fingerprint, batch.WithFailure(contact.Failed), batch.WithOthers(&owners{node: node, mesh: view.mesh}))
-	node.Handle(kindJob, serveJob(jobs))
-	server := serve.New(holder, view.limits, relay, view, clock)
-	holder.OnChange(func(snapshot *rules.Snapshot) { gateway.idle.setLimit(snapshot.Bounds().IdleTime) })
-	gateway.parts = &parts{node: node, roster: roster, view: view, mesh: view.mesh, jobs: jobs,
-		handler: adapter.Callers(server, jobs, holder, clock)}
-	gateway.tree.Start("links", bundle, node)
-	gateway.tree.Start("state", roster.Renewer(), roster, view.config, view.targets)
-	gateway.tree.Start("gateways", view.mesh)
+// start runs the parts, from the bottom up.
+func (gateway *Gateway) start(parts *parts) {
+	gateway.parts = parts
+	parts.Holder.OnChange(func(snapshot *rules.Snapshot) { gateway.idle.setLimit(snapshot.Bounds().IdleTime) })
+	gateway.tree.Start("links", parts.Bundle, parts.Node)
+	gateway.tree.Start("state", parts.Roster.Renewer(), parts.Roster, parts.View.config, parts.View.targets)
+	gateway.tree.Start("gateways", parts.Mesh)
 	gateway.tree.Start("connections", super.Func("connections", func(ctx context.Context) error {
-		return ticks.Every(ctx, clock, sweepPeriod, func(context.Context) {
-			pool.Sweep()
+		return ticks.Every(ctx, gateway.clock, sweepPeriod, func(context.Context) {
+			parts.Pool.Sweep()
 			gateway.idle.sweep()
 		})
 	}))
-	gateway.tree.Start("batch", jobs)
-	return nil
-}
-
-// start lets callers in.
-func (gateway *Gateway) start() {
+	gateway.tree.Start("batch", parts.Jobs)
 	klog.InfoS("gateway starts", "name", gateway.settings.Name, "zone", gateway.settings.Zone, "region", gateway.settings.Region,
 		"callers", gateway.settings.Listen.Caller, "peers", gateway.settings.Listen.Peer, "metrics", gateway.settings.Listen.Metrics)
 }
@@ -245,10 +189,10 @@
 // targets.
 func (gateway *Gateway) awaitReady(ctx context.Context) {
 	for ctx.Err() == nil {
-		if gateway.parts.view.holder.Current() != nil && gateway.parts.view.targets.Listed() {
+		if gateway.parts.Holder.Current() != nil && gateway.parts.View.targets.Listed() {
 			close(gateway.knows)
 			gateway.ready.Store(true)
-			klog.InfoS("gateway ready", "version", gateway.parts.view.Version())
+			klog.InfoS("gateway ready", "version", gateway.parts.Holder.Version())
 			return
 		}
 		ticks.Wait(ctx, gateway.clock, readyPeriod)
@@ -260,7 +204,7 @@
 // runs and gives its jobs away.
 func (gateway *Gateway) stop() {
 	gateway.ready.Store(false)
-	gateway.parts.mesh.Leave()
+	gateway.parts.Mesh.Leave()
 	drain := gateway.drain.Load()
 	klog.InfoS("gateway drains", "notice", drain.Notice.Duration, "limit", drain.Limit.Duration)
 	ctx, cancel := context.WithTimeout(context.Background(), drain.Limit.Duration-2*leaveTime)
@@ -268,7 +212,7 @@
 	jobs := make(chan struct{})
 	go func() {
 		defer close(jobs)
-		gateway.parts.jobs.Drain(ctx)
+		gateway.parts.Jobs.Drain(ctx)
 	}()
 	ticks.Wait(ctx, gateway.clock, drain.Notice.Duration)
 	if err := gateway.caller.Shutdown(ctx); err != nil {
@@ -280,8 +224,8 @@
 	}
 	last, cancelLast := context.WithTimeout(context.Background(), leaveTime)
 	defer cancelLast()
-	gateway.parts.roster.Leave(last)
-	_ = gateway.parts.node.Close()
+	gateway.parts.Roster.Leave(last)
+	_ = gateway.parts.Node.Close()
 	klog.InfoS("gateway stops")
 	klog.Flush()
 }
--- a/internal/limit/tally/tally_test.go
+++ b/internal/limit/tally/tally_test.go
@@ -152,11 +152,11 @@
 
 func (fleet *fleet) deliver() {
 	kept := fleet.mail[:0]
-	for _, letter := range fleet.mail {
-		if letter.due.After(fleet.clock.Now()) {
-			kept = append(kept, letter)
-		} else if !letter.to.down {
-			letter.to.tally.Hear(letter.from.name, letter.run, letter.counts)
+	for _, sent := range fleet.mail {
+		if sent.due.After(fleet.clock.Now()) {
+			kept = append(kept, sent)
+		} else if !sent.to.down {
+			sent.to.tally.Hear(sent.from.name, sent.run, sent.counts)
 		}
 	}
 	fleet.mail = kept
