gate: poll for 4 s again

Ruled out: shorter probes (they did not fire at all here).

Change: configuration, targets and heads are polled for 4 s; members for 15 s.

--- a/internal/gate/batch/manager.go
+++ b/internal/gate/batch/manager.go
@@ -18,7 +18,7 @@
 	// headsWait and headsPace set how the heads are followed: a burst of changes
 	// costs one call. What must be known sooner is asked of the job's owner, or
 	// told it.
-	headsWait = 15 * time.Second
+	headsWait = 4 * time.Second
 	headsPace = 1800 * time.Millisecond
 	// lookPeriod is how often jobs without an owner are looked for.
 	lookPeriod = 300 * time.Millisecond
--- a/internal/gate/feeds/config.go
+++ b/internal/gate/feeds/config.go
@@ -13,9 +13,10 @@
 )
 
 const (
-	// pollWait is how long one poll waits for a change. A connection that has lost
-	// its peer is noticed by the store's client long before.
-	pollWait = 15 * time.Second
+	// pollWait is how long one poll waits for a change. A poll whose connection has
+	// lost its peer ends soon after; until then, the other gateways tell that there
+	// is a newer configuration.
+	pollWait = 4 * time.Second
 	// pollPause is the time after a failed poll.
 	pollPause = 200 * time.Millisecond
 )
