gate: remove what nothing uses, and keep the store's types together

Cause: the newcomer's reading: a clock and a method of the holder, a lookup and a mark of the scheduler and a length that nothing read; the types of a transaction stood beside the targets'.

Measured: tests of gate, platform, tally, trust and state pass; no behaviour changed.

--- a/endpoint.go
+++ b/endpoint.go
@@ -45,19 +45,3 @@
 	// Judge reads the head of an answer to the call.
 	Judge(call *Call, status int, header http.Header) Verdict
 }
-
-// Write is one change within a Commit.
-type Write struct {
-	Key   string
-	Value []byte
-	Lease Lease
-	// Remove deletes the key instead of writing it.
-	Remove bool
-}
-
-// Condition holds while the record at Key has Version; zero means that there
-// is none.
-type Condition struct {
-	Key     string
-	Version uint64
-}
--- a/internal/gate/batch/batch_test.go
+++ b/internal/gate/batch/batch_test.go
@@ -260,7 +260,7 @@
 		again := first
 		again.Instance = "2"
 		place.fleet.set(again)
-		place.holder = rules.NewHolder(agatestage.SystemClock())
+		place.holder = rules.NewHolder()
 		owner, _ = place.start(again)
 		gomega.Consistently(func() int { return len(results(owner, "job").Results) }, moment).Should(gomega.BeZero())
 		place.configure(1, prefix)
--- a/internal/gate/batch/rig_test.go
+++ b/internal/gate/batch/rig_test.go
@@ -108,7 +108,7 @@
 
 func newPlace() *place {
 	clock := agatestage.SystemClock()
-	place := &place{store: store.New(clock), holder: rules.NewHolder(clock), engine: newEngine(), fleet: &fleet{}}
+	place := &place{store: store.New(clock), holder: rules.NewHolder(), engine: newEngine(), fleet: &fleet{}}
 	place.configure(1, prefix)
 	return place
 }
--- a/internal/gate/conns/conns.go
+++ b/internal/gate/conns/conns.go
@@ -96,7 +96,6 @@
 type Answer struct {
 	Status int
 	Header http.Header
-	Length int64
 
 	pool     *Pool
 	conn     *conn
@@ -328,7 +327,7 @@
 		}
 		if response.StatusCode >= http.StatusOK {
 			answer.response = response
-			answer.Status, answer.Header, answer.Length = response.StatusCode, response.Header, response.ContentLength
+			answer.Status, answer.Header = response.StatusCode, response.Header
 			return nil
 		}
 	}
--- a/internal/gate/feeds/feeds_test.go
+++ b/internal/gate/feeds/feeds_test.go
@@ -145,7 +145,7 @@
 	ginkgo.It("comes from the store or another gateway, never back, and never unreadable", func() {
 		clock := agatestage.SystemClock()
 		stand := store.New(clock)
-		holder := rules.NewHolder(clock)
+		holder := rules.NewHolder()
 		config := feeds.NewConfig(stand, clock, "config", func(data []byte) (*rules.Snapshot, error) {
 			if data[0] < '0' || data[0] > '9' {
 				return nil, errors.New("not a version")
--- a/internal/gate/rules/holder.go
+++ b/internal/gate/rules/holder.go
@@ -3,7 +3,6 @@
 import (
 	"sync"
 	"sync/atomic"
-	"time"
 
 	"k8s.io/klog/v2"
 
@@ -13,15 +12,14 @@
 // Holder holds the snapshot in force in this process. It never goes back to a
 // lower version, wherever a snapshot comes from.
 type Holder struct {
-	clock   agatestage.Clock
 	current atomic.Pointer[Snapshot]
 	mutex   sync.Mutex
 	changed []func(*Snapshot)
 }
 
 // NewHolder returns a holder without a snapshot.
-func NewHolder(clock agatestage.Clock) *Holder {
-	return &Holder{clock: clock}
+func NewHolder() *Holder {
+	return &Holder{}
 }
 
 // Current returns the snapshot in force, or nil before the first.
@@ -72,8 +70,3 @@
 	found, ok := snapshot.Organisation(organisation)
 	return found.Rate, ok
 }
-
-// Now returns the time of the holder's clock.
-func (holder *Holder) Now() time.Time {
-	return holder.clock.Now()
-}
--- a/internal/gate/sched/place.go
+++ b/internal/gate/sched/place.go
@@ -116,7 +116,6 @@
 // yield ends a batch call; its slot counts as free at once.
 func (target *target) yield(ticket *Ticket) {
 	target.leave(ticket)
-	ticket.yielded = true
 	close(ticket.yield)
 }
 
--- a/internal/gate/sched/sched.go
+++ b/internal/gate/sched/sched.go
@@ -67,7 +67,6 @@
 	scheduler *Scheduler
 	began     time.Time
 	yield     chan struct{}
-	yielded   bool
 	once      sync.Once
 }
 
@@ -189,14 +188,6 @@
 	return entry
 }
 
-// Known reports whether the service has any target that isn't leaving.
-func (scheduler *Scheduler) Known(name string) bool {
-	scheduler.mutex.Lock()
-	defer scheduler.mutex.Unlock()
-	entry := scheduler.services[name]
-	return entry != nil && slices.ContainsFunc(entry.targets, func(target *target) bool { return !target.Draining })
-}
-
 // Acquire gives the call a slot, now or within its patience. Its error is a
 // *agatestage.Refusal with RanNo.
 func (scheduler *Scheduler) Acquire(ctx context.Context, ask Ask) (*Ticket, error) {
--- a/internal/gate/serve/serve_test.go
+++ b/internal/gate/serve/serve_test.go
@@ -67,7 +67,7 @@
 
 func newPlay() *play {
 	play := &play{runner: &runner{}, limiter: &limiter{}, fresh: &fresh{}, clock: clocktest.NewFakeClock(time.Unix(1000, 0))}
-	play.holder = rules.NewHolder(play.clock)
+	play.holder = rules.NewHolder()
 	play.Server = serve.New(play.holder, play.limiter, play.runner, play.fresh, play.clock)
 	return play
 }
--- a/store.go
+++ b/store.go
@@ -54,6 +54,22 @@
 	Revoke(ctx context.Context, lease Lease) error
 }
 
+// Write is one change within a Commit.
+type Write struct {
+	Key   string
+	Value []byte
+	Lease Lease
+	// Remove deletes the key instead of writing it.
+	Remove bool
+}
+
+// Condition holds while the record at Key has Version; zero means that there
+// is none.
+type Condition struct {
+	Key     string
+	Version uint64
+}
+
 // Transactor is a Store that also changes several records at once.
 type Transactor interface {
 	Store
