gate/gossip: hear gateways that the store has not told of

Gateway-2 was cut off from the store while the others joined; its poll of the members waits 15 s, and until then it dropped what the others told, as it knew no such members. The lines 'targets dealt' show it with 2 gateways of 4 until it was killed. Ruled out: the tally (refusals at gateway-0 show its level falling below zero as soon as it hears gateway-2); shorter polls of the members, which cost calls and don't help while the store is away. Change: a gateway's state carries its address, and a peer whose certificate holds is taken as a gateway whether or not the store has told of it. The same holds at a cold start, where the list is read once before the others register.

--- a/internal/gate/gossip/gossip.go
+++ b/internal/gate/gossip/gossip.go
@@ -9,6 +9,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"sync"
 	"time"
 
@@ -72,7 +73,10 @@
 	Instance string
 	Region   string
 	Zone     string
-	Version  uint64
+	// Address is where the gateway listens for others. One that the store hasn't
+	// told of is known by it.
+	Address netip.AddrPort
+	Version uint64
 	// Hears says that the store answers this gateway.
 	Hears bool
 	// Leaving gateways take no new work.
@@ -253,7 +257,7 @@
 	self := mesh.roster.Self()
 	backlog, slots := mesh.source.Backlog()
 	return State{
-		Name: self.Name, Instance: mesh.instance, Region: self.Region, Zone: self.Zone, Version: mesh.source.Version(),
+		Name: self.Name, Instance: mesh.instance, Region: self.Region, Zone: self.Zone, Address: self.Address, Version: mesh.source.Version(),
 		Hears: mesh.source.Silent() == 0, Leaving: leaving, Held: mesh.source.Held(),
 		Counts: mesh.source.Counts(all), Backlog: backlog, Slots: slots,
 	}
@@ -286,18 +290,24 @@
 	}()
 }
 
-// hear takes another gateway's state.
+// hear takes another gateway's state. A gateway that the store hasn't told of is
+// a new peer: its certificate shows that it is one of the fleet, and this process
+// may be cut off from the store.
 func (mesh *Mesh) hear(state State) {
+	if state.Name == mesh.roster.Self().Name {
+		return
+	}
 	mesh.mutex.Lock()
 	known := mesh.peers[state.Name]
-	if known != nil {
-		known.state, known.heard = state, mesh.clock.Now()
+	if known == nil {
+		klog.InfoS("gateway met before the store told of it", "gateway", state.Name, "instance", state.Instance, "address", state.Address)
+		known = &peer{member: member.Member{Name: state.Name, Region: state.Region, Zone: state.Zone, Address: state.Address}}
+		mesh.peers[state.Name] = known
 	}
+	known.state, known.heard = state, mesh.clock.Now()
 	mesh.mutex.Unlock()
-	if known != nil {
-		mesh.source.Hear(state.Name, state.Held)
-		mesh.source.HearCounts(state.Name, state.Instance, state.Counts)
-	}
+	mesh.source.Hear(state.Name, state.Held)
+	mesh.source.HearCounts(state.Name, state.Instance, state.Counts)
 }
 
 // catchUp takes what the other knows and this gateway can't learn from the store.
