--- a/internal/gate/feeds/contact.go
+++ b/internal/gate/feeds/contact.go
@@ -12,6 +12,11 @@
 	"github.com/agatestage/agatestage"
 )
 
+// overdueAfter is how long the store may go unheard before it counts as silent
+// though no call has failed: a poll and the pause between two take less. Longer
+// ones are those of a machine that was suspended.
+const overdueAfter = pollWait + time.Second
+
 // Contact is when this process last heard the store, over all its feeds.
 type Contact struct {
 	clock agatestage.Clock
@@ -49,14 +54,18 @@
 	}
 }
 
-// Silent returns for how long the store has failed, zero while it answers.
+// Silent returns for how long the store has failed or an answer is overdue, zero
+// while it answers.
 func (contact *Contact) Silent() time.Duration {
 	contact.mutex.Lock()
 	defer contact.mutex.Unlock()
-	if contact.lost.IsZero() {
+	switch {
+	case !contact.lost.IsZero():
+		return contact.clock.Since(contact.lost)
+	case contact.heard.IsZero():
 		return 0
 	}
-	return contact.clock.Since(contact.lost)
+	return max(0, contact.clock.Since(contact.heard)-overdueAfter)
 }
 
 // Age returns how long ago the store was last heard.
--- a/internal/gate/feeds/feeds_test.go
+++ b/internal/gate/feeds/feeds_test.go
@@ -141,6 +141,21 @@
 	})
 })
 
+var _ = ginkgo.Describe("contact with the store of a machine that was suspended", func() {
+	ginkgo.It("is lost until the store is heard again, though no call has failed", func() {
+		clock := clocktest.NewFakeClock(time.Unix(1000, 0))
+		contact := feeds.NewContact(clock)
+		gomega.Expect(contact.Silent()).To(gomega.BeZero())
+		contact.Heard()
+		clock.Step(4 * time.Second)
+		gomega.Expect(contact.Silent()).To(gomega.BeZero())
+		clock.Step(time.Minute)
+		gomega.Expect(contact.Silent()).To(gomega.BeNumerically(">", 30*time.Second))
+		contact.Heard()
+		gomega.Expect(contact.Silent()).To(gomega.BeZero())
+	})
+})
+
 var _ = ginkgo.Describe("the configuration", func() {
 	ginkgo.It("comes from the store or another gateway, never back, and never unreadable", func() {
 		clock := agatestage.SystemClock()
--- a/internal/gate/relay/relay.go
+++ b/internal/gate/relay/relay.go
@@ -162,7 +162,7 @@
 
 // Serve implements Runner.
 func (relay *Relay) Serve(ctx context.Context, call *agatestage.Call, plan Plan, sink Sink) Result {
-	ctx, cancel := context.WithDeadline(ctx, plan.Deadline)
+	ctx, cancel := context.WithTimeout(ctx, plan.Deadline.Sub(relay.clock.Now()))
 	defer cancel()
 	run := &run{Relay: relay, call: call, plan: plan, sink: sink}
 	run.result.Last = plan.After
