gate/batch: count an item's failures over all owners of its job

The trace shows it going from edge-hame-glaze-2 to edge-hame-office-4 and back within 8 s: jobs move between gateways, and each owner began to count anew, as only items with events were handed over. Ruled out: two owners at once (the heads' versions and epochs are in order in the trace). Change: counts of failures go into the progress record, with the next group of results while a job runs and with the rest when it is handed over; the record stays valid for later owners.

--- a/internal/gate/batch/batch_test.go
+++ b/internal/gate/batch/batch_test.go
@@ -312,6 +312,34 @@
 		gomega.Expect(expectDone(owner, spec)[0].Failed).To(gomega.BeTrue())
 		gomega.Expect(place.engine.count("job-0")).To(gomega.Equal(attempts))
 	})
+	for _, how := range []string{"is handed over", "is taken over"} {
+		ginkgo.It("is given up after the failures that its route allows though its job "+how+" meanwhile", func() {
+			place := newPlace()
+			place.fleet.set(first, second)
+			owner, kill := place.start(first)
+			heir, _ := place.start(second)
+			place.engine.serve = func(string, int) relay.Result { return relay.Result{Status: http.StatusInternalServerError} }
+			place.engine.pause = make(chan struct{})
+			spec := place.spec("job", 1)
+			gomega.Expect(owner.Submit(context.Background(), spec)).To(gomega.Succeed())
+			gomega.Eventually(func() int { return place.engine.count("job-0") }, patience).Should(gomega.Equal(2))
+			if how == "is taken over" {
+				gomega.Eventually(func() string {
+					record, err := place.store.Get(context.Background(), "batch/head/job")
+					gomega.Expect(err).NotTo(gomega.HaveOccurred())
+					return string(record.Value)
+				}, patience).Should(gomega.ContainSubstring(`"Progress":true`))
+				kill()
+			} else {
+				owner.Drain(context.Background())
+			}
+			place.fleet.set(second)
+			close(place.engine.pause)
+			gomega.Expect(expectDone(heir, spec)[0].Failed).To(gomega.BeTrue())
+			// The second run was cut off and counts for nothing.
+			gomega.Expect(place.engine.count("job-0")).To(gomega.Equal(attempts + 1))
+		})
+	}
 	ginkgo.It("that can't be done is not run again", func() {
 		place := newPlace()
 		place.fleet.set(first)
--- a/internal/gate/batch/job.go
+++ b/internal/gate/batch/job.go
@@ -36,6 +36,10 @@
 	listed []Result
 	ready  []Result
 	done   map[string]bool
+	// failed counts how often targets have failed each unfinished item; unwritten
+	// says that the store doesn't have all counts yet.
+	failed    map[string]int
+	unwritten bool
 	// sinks gather the unfinished items' events.
 	sinks map[string]*collector
 	// changed is closed when more results are listed or the job has ended.
@@ -49,7 +53,7 @@
 
 func newJob(manager *Manager, owned entry, items []Item, listed []Result) *job {
 	job := &job{
-		manager: manager, head: owned.Head, entry: owned, items: items, listed: listed, done: make(map[string]bool), sinks: make(map[string]*collector),
+		manager: manager, head: owned.Head, entry: owned, items: items, listed: listed, done: make(map[string]bool), failed: make(map[string]int), sinks: make(map[string]*collector),
 		changed: make(chan struct{}), wake: make(chan struct{}, 1), idle: make(chan struct{}),
 		began: manager.clock.Now(),
 	}
@@ -99,14 +103,20 @@
 		return
 	}
 	job.done[result.ID] = true
+	delete(job.failed, result.ID)
 	job.ready = append(job.ready, result)
+	job.rouse()
+}
+
+// rouse makes commitAll look what is to be written.
+func (job *job) rouse() {
 	select {
 	case job.wake <- struct{}{}:
 	default:
 	}
 }
 
-// commitAll writes results in groups until the job has ended or is stopped.
+// commitAll writes results and counts of failures in groups until the job has ended or is stopped.
 func (job *job) commitAll(ctx context.Context) {
 	for {
 		if job.complete() {
@@ -120,7 +130,7 @@
 		if !job.allDone() {
 			ticks.Wait(ctx, job.manager.clock, groupTime)
 		}
-		for job.waiting() > 0 && ctx.Err() == nil {
+		for job.pending() && ctx.Err() == nil {
 			if err := job.commit(ctx); errors.Is(err, errMoved) {
 				job.stop()
 				return
@@ -138,6 +148,13 @@
 	return len(job.ready)
 }
 
+// pending reports whether something waits to be written.
+func (job *job) pending() bool {
+	job.mutex.Lock()
+	defer job.mutex.Unlock()
+	return len(job.ready) > 0 || job.unwritten
+}
+
 // allDone reports whether every item has a result, listed or not.
 func (job *job) allDone() bool {
 	job.mutex.Lock()
@@ -152,11 +169,20 @@
 	return job.stopped || !job.entry.Open() || len(job.listed) >= len(job.items)
 }
 
-// commit writes the results that wait, with the head that counts them.
-func (job *job) commit(ctx context.Context) error {
+// commit writes the results that wait, with the head that counts them, and the
+// counts of failures if they have changed.
+func (job *job) commit(ctx context.Context) (err error) {
 	job.mutex.Lock()
-	before, ready := job.entry, slices.Clone(job.ready)
+	before, ready, progress := job.entry, slices.Clone(job.ready), job.counts()
+	job.unwritten = false
 	job.mutex.Unlock()
+	defer func() {
+		if err != nil && len(progress) > 0 {
+			job.mutex.Lock()
+			defer job.mutex.Unlock()
+			job.unwritten = true
+		}
+	}()
 	chunks, err := splitResults(ready)
 	if err != nil {
 		return err
@@ -166,6 +192,14 @@
 	for i, chunk := range chunks {
 		writes = append(writes, agatestage.Write{Key: chunkKey(head.ID, head.Chunks+i), Value: chunk})
 	}
+	if len(progress) > 0 {
+		var data []byte
+		if data, err = encodeProgress(progress); err != nil {
+			return err
+		}
+		head.Progress = true
+		writes = append(writes, agatestage.Write{Key: progressPrefix + head.ID, Value: data})
+	}
 	head.Chunks += len(chunks)
 	head.Results += len(ready)
 	if head.Results >= head.Items {
@@ -176,14 +210,22 @@
 		return err
 	}
 	job.manager.note(after)
+	job.list(after, ready)
+	klog.InfoS("results listed", "job", head.ID, "epoch", head.Epoch, "results", head.Results, "items", head.Items, "failing", len(progress), "version", after.version)
+	return nil
+}
+
+// list shows results that have been written.
+func (job *job) list(after entry, results []Result) {
 	job.mutex.Lock()
 	defer job.mutex.Unlock()
 	job.entry = after
-	job.listed = append(job.listed, ready...)
-	job.ready = job.ready[len(ready):]
+	if len(results) == 0 {
+		return
+	}
+	job.listed = append(job.listed, results...)
+	job.ready = job.ready[len(results):]
 	job.announce()
-	klog.InfoS("results listed", "job", head.ID, "epoch", head.Epoch, "results", head.Results, "items", head.Items, "version", after.version)
-	return nil
 }
 
 // announce wakes those who wait for results; the mutex is held.
@@ -262,7 +304,8 @@
 		klog.ErrorS(err, "progress of items not handed over", "job", head.ID)
 	}
 	var writes []agatestage.Write
-	if head.Progress = err == nil && len(progress) > 0; head.Progress {
+	if err == nil && len(progress) > 0 {
+		head.Progress = true
 		writes = append(writes, agatestage.Write{Key: progressPrefix + head.ID, Value: data})
 	}
 	after, err := job.manager.vault.write(ctx, before, head, writes...)
@@ -277,25 +320,6 @@
 	klog.InfoS("job handed over", "job", head.ID, "to", to.Name, "results", head.Results, "items", head.Items, "begun", len(progress))
 }
 
-// progress returns what there is of unfinished items, after their runs have
-// ended.
-func (job *job) progress() (all []Progress) {
-	for _, item := range job.items {
-		sink := job.sinks[item.ID]
-		if !job.done[item.ID] && sink != nil && sink.number > 0 {
-			all = append(all, Progress{ID: item.ID, Number: sink.number, Text: sink.text})
-		}
-	}
-	return all
-}
-
-// resume takes what the last owner has handed over of unfinished items.
-func (job *job) resume(all []Progress) {
-	for _, progress := range all {
-		job.sinks[progress.ID] = &collector{text: progress.Text, number: progress.Number}
-	}
-}
-
 // left returns how many items have no result.
 func (job *job) left() int {
 	job.mutex.Lock()
--- /dev/null
+++ b/internal/gate/batch/progress.go
@@ -0,0 +1,88 @@
+package batch
+
+import (
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+)
+
+// Progress is what there is of an unfinished item: the data of its events up to
+// a number, which a planned stop hands over, and how often targets have failed it.
+type Progress struct {
+	ID     string   `cbor:"1,keyasint"`
+	Number int64    `cbor:"2,keyasint,omitempty"`
+	Text   [][]byte `cbor:"3,keyasint,omitempty"`
+	Failed int      `cbor:"4,keyasint,omitempty"`
+}
+
+// size returns about what the progress takes, in bytes.
+func (progress Progress) size() (size int) {
+	for _, line := range progress.Text {
+		size += len(line)
+	}
+	return size
+}
+
+// encodeProgress encodes progress into one record: all counts of failures, and as
+// many events as fit.
+func encodeProgress(all []Progress) ([]byte, error) {
+	fitting := make([]Progress, 0, len(all))
+	size := 0
+	for _, progress := range all {
+		if size += progress.size(); size >= partBytes {
+			progress.Number, progress.Text = 0, nil
+		}
+		fitting = append(fitting, progress)
+	}
+	data, err := cbor.Marshal(fitting)
+	return data, errors.Wrap(err, "encode progress")
+}
+
+// failures returns how often targets have failed an item, here or at former
+// owners.
+func (job *job) failures(item string) int {
+	job.mutex.Lock()
+	defer job.mutex.Unlock()
+	return job.failed[item]
+}
+
+// noteFailure remembers how often targets have failed an item, so that the next
+// owner goes on counting.
+func (job *job) noteFailure(item string, count int) {
+	job.mutex.Lock()
+	defer job.mutex.Unlock()
+	job.failed[item], job.unwritten = count, true
+	job.rouse()
+}
+
+// counts returns the counts of failures that the store lacks; the mutex is held.
+func (job *job) counts() (all []Progress) {
+	if !job.unwritten {
+		return nil
+	}
+	for item, count := range job.failed {
+		all = append(all, Progress{ID: item, Failed: count})
+	}
+	return all
+}
+
+// progress returns what there is of unfinished items, after their runs have
+// ended.
+func (job *job) progress() (all []Progress) {
+	for _, item := range job.items {
+		sink, failed := job.sinks[item.ID], job.failures(item.ID)
+		if !job.done[item.ID] && sink != nil && (sink.number > 0 || failed > 0) {
+			all = append(all, Progress{ID: item.ID, Number: sink.number, Text: sink.text, Failed: failed})
+		}
+	}
+	return all
+}
+
+// resume takes what former owners have written of unfinished items.
+func (job *job) resume(all []Progress) {
+	for _, progress := range all {
+		job.sinks[progress.ID] = &collector{text: progress.Text, number: progress.Number}
+		if progress.Failed > 0 && !job.done[progress.ID] {
+			job.failed[progress.ID] = progress.Failed
+		}
+	}
+}
--- a/internal/gate/batch/record.go
+++ b/internal/gate/batch/record.go
@@ -29,7 +29,7 @@
 	headPrefix  = "batch/head/"
 	inputPrefix = "batch/input/"
 	chunkPrefix = "batch/chunk/"
-	// progressPrefix holds what a planned stop hands over of unfinished items.
+	// progressPrefix holds what the next owner must know of unfinished items.
 	progressPrefix = "batch/progress/"
 )
 
@@ -90,8 +90,7 @@
 	Epoch    uint64
 	Results  int
 	Chunks   int
-	// Progress says that the last owner has handed over what it had of unfinished
-	// items.
+	// Progress says that there is a record of unfinished items.
 	Progress bool `json:",omitempty"`
 }
 
@@ -115,33 +114,6 @@
 
 func chunkKey(id string, chunk int) string { return fmt.Sprintf("%s%s/%05d", chunkPrefix, id, chunk) }
 
-// Progress is what there is of an unfinished item: the data of its events up to
-// a number.
-type Progress struct {
-	ID     string   `cbor:"1,keyasint"`
-	Number int64    `cbor:"2,keyasint"`
-	Text   [][]byte `cbor:"3,keyasint"`
-}
-
-// size returns about what the progress takes, in bytes.
-func (progress Progress) size() (size int) {
-	for _, line := range progress.Text {
-		size += len(line)
-	}
-	return size
-}
-
-// encodeProgress encodes as much progress as fits into one record.
-func encodeProgress(all []Progress) ([]byte, error) {
-	size, fit := 0, 0
-	for fit < len(all) && size+all[fit].size() < partBytes {
-		size += all[fit].size()
-		fit++
-	}
-	data, err := cbor.Marshal(all[:fit])
-	return data, errors.Wrap(err, "encode progress")
-}
-
 // splitItems encodes the items in parts.
 func splitItems(items []Item) (parts [][]byte, err error) {
 	for begin := 0; begin < len(items); {
--- a/internal/gate/batch/run.go
+++ b/internal/gate/batch/run.go
@@ -45,7 +45,7 @@
 
 // run runs one item until it has a result or ctx ends.
 func (job *job) run(ctx context.Context, item *Item, sink *collector) {
-	var tries attempts
+	tries := attempts{failed: job.failures(item.ID)}
 	for ctx.Err() == nil {
 		route, known, ok := job.route(item)
 		if !known {
@@ -113,6 +113,7 @@
 		return Result{ID: item.ID, Failed: true}, true
 	case run.Refusal == nil && run.Status == http.StatusInternalServerError:
 		tries.failed++
+		job.noteFailure(item.ID, tries.failed)
 	case run.Yielded:
 		return Result{}, false
 	default:
--- a/internal/gate/batch/take.go
+++ b/internal/gate/batch/take.go
@@ -91,7 +91,7 @@
 func (manager *Manager) take(ctx context.Context, orphan entry) {
 	defer manager.taken(orphan.ID)
 	head := orphan.Head
-	head.Owner, head.Instance, head.Epoch, head.Progress = manager.name, manager.instance, head.Epoch+1, false
+	head.Owner, head.Instance, head.Epoch = manager.name, manager.instance, head.Epoch+1
 	taken, err := manager.vault.write(ctx, orphan, head)
 	if errors.Is(err, errMoved) {
 		manager.refetch(ctx, head.ID)
