gate/feeds: one call at a time tries a lost store, and submissions don't wait for it

A submission to a gateway that has lost the store waited for a call's time-out of 1.2 s before its caller tried another. Change: while the store is lost one feed tries it, after 0.2 s and then up to each 0.8 s; all go on once it is regained. Results wait for it. An answer to the feed of job heads counts as one. Tests: turns while lost (by a played clock), refusal without a call; both are new.

--- a/internal/gate/batch/batch_test.go
+++ b/internal/gate/batch/batch_test.go
@@ -236,6 +236,17 @@
 		place.store.Fail(store.Faults{})
 		gomega.Expect(owner.Submit(context.Background(), place.spec("job", 1))).To(gomega.Succeed())
 	})
+	ginkgo.It("is refused without asking a store that is lost, so that another gateway is tried", func() {
+		place := newPlace()
+		place.fleet.set(first)
+		owner, _ := place.start(first)
+		place.fleet.lose(time.Second)
+		expectRefused(owner.Submit(context.Background(), place.spec("job", 1)), agatestage.CodeStore, agatestage.RanNo)
+		_, err := place.store.Get(context.Background(), "batch/head/job")
+		gomega.Expect(errors.Is(err, agatestage.ErrNotFound)).To(gomega.BeTrue())
+		place.fleet.lose(0)
+		gomega.Expect(owner.Submit(context.Background(), place.spec("job", 1))).To(gomega.Succeed())
+	})
 	ginkgo.It("is kept though the store's reply is lost", func() {
 		place := newPlace()
 		place.fleet.set(first)
--- a/internal/gate/batch/job.go
+++ b/internal/gate/batch/job.go
@@ -131,6 +131,7 @@
 			ticks.Wait(ctx, job.manager.clock, groupTime)
 		}
 		for job.pending() && ctx.Err() == nil {
+			job.manager.contact.Await(ctx)
 			if err := job.commit(ctx); errors.Is(err, errMoved) {
 				job.stop()
 				return
--- a/internal/gate/batch/manager.go
+++ b/internal/gate/batch/manager.go
@@ -9,6 +9,7 @@
 
 	"github.com/agatestage/agatestage"
 	"github.com/agatestage/agatestage/internal/base/ticks"
+	"github.com/agatestage/agatestage/internal/gate/feeds"
 	"github.com/agatestage/agatestage/internal/gate/relay"
 	"github.com/agatestage/agatestage/internal/gate/rules"
 	"github.com/agatestage/agatestage/internal/state/watch"
@@ -61,7 +62,7 @@
 	runner   relay.Runner
 	rules    *rules.Holder
 	fleet    Fleet
-	failure  func(error)
+	contact  *feeds.Contact
 
 	fingerprint func(*agatestage.Call) uint64
 	ctx         context.Context
@@ -86,9 +87,9 @@
 // Option changes how a manager is built.
 type Option func(*Manager)
 
-// WithFailure sets what is called when the store fails.
-func WithFailure(failure func(error)) Option {
-	return func(manager *Manager) { manager.failure = failure }
+// WithContact shares what is known of the contact with the store.
+func WithContact(contact *feeds.Contact) Option {
+	return func(manager *Manager) { manager.contact = contact }
 }
 
 // WithOthers sets how other gateways are asked and told of the jobs that they
@@ -101,7 +102,7 @@
 func New(self Gateway, store agatestage.Transactor, clock agatestage.Clock, runner relay.Runner, holder *rules.Holder, fleet Fleet, fingerprint func(*agatestage.Call) uint64, options ...Option) *Manager {
 	manager := &Manager{
 		name: self.Name, instance: self.Instance, region: self.Region, clock: clock, vault: &vault{store: store, clock: clock},
-		runner: runner, rules: holder, fleet: fleet, failure: func(error) {}, fingerprint: fingerprint,
+		runner: runner, rules: holder, fleet: fleet, contact: feeds.NewContact(clock), fingerprint: fingerprint,
 		heads: make(map[string]entry), jobs: make(map[string]*job), taking: make(map[string]bool), views: make(map[string]*view),
 		changed: make(chan struct{}), others: alone{}, placed: make(map[string]placement), began: clock.Now(),
 	}
@@ -127,9 +128,10 @@
 	go func() { _ = ticks.Every(ctx, manager.clock, balancePeriod, manager.balance) }()
 	var revision uint64
 	return watch.Follow(ctx, manager.vault.store, manager.clock, headPrefix, func(_ context.Context, records []agatestage.Record, whole bool) error {
+		manager.contact.Heard()
 		manager.follow(records, whole, revision)
 		return nil
-	}, watch.WithListed(func(listed uint64) { revision = listed }), watch.WithWait(headsWait), watch.WithPace(headsPace), watch.WithFailure(manager.failure))
+	}, watch.WithListed(func(listed uint64) { revision = listed }), watch.WithWait(headsWait), watch.WithPace(headsPace), watch.WithFailure(manager.contact.Failed), watch.WithRetry(manager.contact.Retry))
 }
 
 // follow takes heads that have changed, or all that there were at a revision.
--- a/internal/gate/batch/rig_test.go
+++ b/internal/gate/batch/rig_test.go
@@ -70,8 +70,9 @@
 
 // fleet tells a manager which gateways there are.
 type fleet struct {
-	mutex sync.Mutex
-	alive []batch.Gateway
+	mutex  sync.Mutex
+	alive  []batch.Gateway
+	silent time.Duration
 }
 
 func (fleet *fleet) Alive() []batch.Gateway {
@@ -89,7 +90,18 @@
 	return true
 }
 
-func (*fleet) Silent() time.Duration { return 0 }
+func (fleet *fleet) Silent() time.Duration {
+	fleet.mutex.Lock()
+	defer fleet.mutex.Unlock()
+	return fleet.silent
+}
+
+// lose sets for how long the store has failed.
+func (fleet *fleet) lose(silent time.Duration) {
+	fleet.mutex.Lock()
+	defer fleet.mutex.Unlock()
+	fleet.silent = silent
+}
 
 // set replaces the gateways that are alive.
 func (fleet *fleet) set(gateways ...batch.Gateway) {
--- a/internal/gate/batch/submit.go
+++ b/internal/gate/batch/submit.go
@@ -66,6 +66,8 @@
 	switch {
 	case ok:
 		return repeated(known.Head, spec, digest)
+	case manager.fleet.Silent() > lostFor:
+		return unsure("the job can't be kept now", errors.New("this gateway has lost the store"))
 	case draining:
 		return agatestage.Refuse(agatestage.CodeStopping, "this gateway is about to stop")
 	case busy:
--- a/internal/gate/feeds/config.go
+++ b/internal/gate/feeds/config.go
@@ -17,8 +17,6 @@
 	// lost its peer ends soon after; until then, the other gateways tell that there
 	// is a newer configuration.
 	pollWait = 4 * time.Second
-	// pollPause is the time after a failed poll.
-	pollPause = 200 * time.Millisecond
 )
 
 // Config follows the configuration.
@@ -48,7 +46,7 @@
 			}
 		}
 		return nil
-	}, watch.WithWait(pollWait), watch.WithPause(pollPause), watch.WithFailure(config.contact.Failed))
+	}, watch.WithWait(pollWait), watch.WithRetry(config.contact.Retry), watch.WithFailure(config.contact.Failed))
 }
 
 // String names the service in logs.
--- a/internal/gate/feeds/contact.go
+++ b/internal/gate/feeds/contact.go
@@ -4,12 +4,14 @@
 package feeds
 
 import (
+	"context"
 	"sync"
 	"time"
 
 	"k8s.io/klog/v2"
 
 	"github.com/agatestage/agatestage"
+	"github.com/agatestage/agatestage/internal/base/ticks"
 )
 
 // overdueAfter is how long the store may go unheard before it counts as silent
@@ -17,7 +19,19 @@
 // ones are those of a machine that was suspended.
 const overdueAfter = pollWait + time.Second
 
-// Contact is when this process last heard the store, over all its feeds.
+const (
+	// firstRetry is the time between the failure by which the store is lost and the
+	// next call to it, and the least pause of a feed after a failure. The pauses
+	// double up to lastRetry, which a configuration's few seconds leave room for.
+	firstRetry = 200 * time.Millisecond
+	lastRetry  = 800 * time.Millisecond
+	// retryLook is how often a feed that waits looks whether it may go on.
+	retryLook = 50 * time.Millisecond
+)
+
+// Contact is when this process last heard the store, over all its feeds. While
+// the store is lost, it lets one feed at a time try it: refused calls are paid, and
+// the answer to one tells of all.
 type Contact struct {
 	clock agatestage.Clock
 	mutex sync.Mutex
@@ -25,6 +39,10 @@
 	// lost is when the store fell silent, regained when it was heard again.
 	lost     time.Time
 	regained time.Time
+	// tries counts the calls since the store was lost; next is when another may be
+	// made.
+	tries int
+	next  time.Time
 }
 
 // NewContact returns a contact that has heard nothing yet.
@@ -49,11 +67,45 @@
 	contact.mutex.Lock()
 	defer contact.mutex.Unlock()
 	if contact.lost.IsZero() {
-		contact.lost = contact.clock.Now()
+		contact.lost, contact.tries = contact.clock.Now(), 0
+		contact.next = contact.lost.Add(firstRetry)
 		klog.InfoS("store lost", "lastHeard", contact.clock.Since(contact.heard), "error", err.Error())
 	}
 }
 
+// Retry waits after a failure until the store may be called again: once it is
+// regained, or as the one call that tries whether it is.
+func (contact *Contact) Retry(ctx context.Context) {
+	ticks.Wait(ctx, contact.clock, firstRetry)
+	for ctx.Err() == nil && !contact.MayTry() {
+		ticks.Wait(ctx, contact.clock, retryLook)
+	}
+}
+
+// Await waits until the store isn't lost.
+func (contact *Contact) Await(ctx context.Context) {
+	for ctx.Err() == nil && contact.Silent() > 0 {
+		ticks.Wait(ctx, contact.clock, retryLook)
+	}
+}
+
+// MayTry reports whether a call may be made now. While the store is lost, it says
+// so once in a while.
+func (contact *Contact) MayTry() bool {
+	contact.mutex.Lock()
+	defer contact.mutex.Unlock()
+	now := contact.clock.Now()
+	if contact.lost.IsZero() {
+		return true
+	}
+	if now.Before(contact.next) {
+		return false
+	}
+	contact.tries++
+	contact.next = now.Add(min(lastRetry, firstRetry<<min(contact.tries, 8)))
+	return true
+}
+
 // Silent returns for how long the store has failed or an answer is overdue, zero
 // while it answers.
 func (contact *Contact) Silent() time.Duration {
--- a/internal/gate/feeds/feeds_test.go
+++ b/internal/gate/feeds/feeds_test.go
@@ -141,6 +141,31 @@
 	})
 })
 
+var _ = ginkgo.Describe("a store that is lost", func() {
+	ginkgo.It("is tried by one call in a while, and by all once it is regained", func() {
+		clock := clocktest.NewFakeClock(time.Unix(1000, 0))
+		contact := feeds.NewContact(clock)
+		contact.Heard()
+		gomega.Expect(contact.MayTry()).To(gomega.BeTrue())
+		contact.Failed(errors.New("out"))
+		var tries []time.Duration
+		for length := time.Duration(0); length < 5*time.Second; length += 50 * time.Millisecond {
+			for range 4 {
+				if contact.MayTry() {
+					tries = append(tries, length)
+					contact.Failed(errors.New("out"))
+				}
+			}
+			clock.Step(50 * time.Millisecond)
+		}
+		gomega.Expect(tries[0]).To(gomega.Equal(200 * time.Millisecond))
+		gomega.Expect(len(tries)).To(gomega.BeNumerically("<=", 8))
+		gomega.Expect(tries[len(tries)-1]).To(gomega.BeNumerically(">", 4*time.Second))
+		contact.Heard()
+		gomega.Expect([]bool{contact.MayTry(), contact.MayTry()}).To(gomega.Equal([]bool{true, true}))
+	})
+})
+
 var _ = ginkgo.Describe("contact with the store of a machine that was suspended", func() {
 	ginkgo.It("is lost until the store is heard again, though no call has failed", func() {
 		clock := clocktest.NewFakeClock(time.Unix(1000, 0))
--- a/internal/gate/start/wire.go
+++ b/internal/gate/start/wire.go
@@ -75,9 +75,9 @@
 	return link.New(settings.Listen.Peer, bundle, link.WithClock(clock))
 }
 
-func newRoster(settings setup.Settings, store agatestage.Transactor, clock agatestage.Clock, node *link.Node) *member.Roster {
+func newRoster(settings setup.Settings, store agatestage.Transactor, clock agatestage.Clock, node *link.Node, contact *feeds.Contact) *member.Roster {
 	self := member.Member{Name: settings.Name, Region: settings.Region, Zone: settings.Zone, Address: node.Address()}
-	return member.New(store, clock, self, member.WithPolls(watch.WithWait(memberWait), watch.WithPace(memberPace)))
+	return member.New(store, clock, self, member.WithPolls(watch.WithWait(memberWait), watch.WithPace(memberPace), watch.WithRetry(contact.Retry)))
 }
 
 func newScheduler(work context.Context, settings setup.Settings, clock agatestage.Clock, pool *conns.Pool) *sched.Scheduler {
@@ -113,7 +113,7 @@
 func newJobs(settings setup.Settings, instance instance, store agatestage.Transactor, clock agatestage.Clock, relay *relay.Relay, holder *rules.Holder, view *view, contact *feeds.Contact, node *link.Node, mesh *gossip.Mesh) *batch.Manager {
 	self := batch.Gateway{Name: settings.Name, Instance: string(instance), Region: settings.Region}
 	jobs := batch.New(self, store, clock, relay, holder, view, serve.Fingerprint,
-		batch.WithFailure(contact.Failed), batch.WithOthers(&owners{node: node, mesh: mesh}))
+		batch.WithContact(contact), batch.WithOthers(&owners{node: node, mesh: mesh}))
 	node.Handle(kindJob, serveJob(jobs))
 	return jobs
 }
--- a/internal/state/watch/watch.go
+++ b/internal/state/watch/watch.go
@@ -40,6 +40,12 @@
 	return func(follower *follower) { follower.pause = pause }
 }
 
+// WithRetry sets what waits after a failed poll until the next may be made,
+// instead of a pause.
+func WithRetry(retry func(ctx context.Context)) Option {
+	return func(follower *follower) { follower.retry = retry }
+}
+
 // WithFailure sets what is called after each failed poll.
 func WithFailure(failure func(error)) Option {
 	return func(follower *follower) { follower.failure = failure }
@@ -58,6 +64,7 @@
 	wait    time.Duration
 	pace    time.Duration
 	pause   time.Duration
+	retry   func(ctx context.Context)
 	failure func(error)
 	listed  func(revision uint64)
 }
@@ -67,6 +74,7 @@
 // also called, without records, when a poll brought no change.
 func Follow(ctx context.Context, store agatestage.Store, clock agatestage.Clock, prefix string, apply Apply, options ...Option) error {
 	follower := follower{store: store, prefix: prefix, wait: defaultWait, pause: defaultPause, failure: func(error) {}, listed: func(uint64) {}}
+	follower.retry = func(ctx context.Context) { ticks.Wait(ctx, clock, follower.pause) }
 	for _, option := range options {
 		option(&follower)
 	}
@@ -88,7 +96,7 @@
 			continue
 		}
 		follower.failure(err)
-		ticks.Wait(ctx, clock, follower.pause)
+		follower.retry(ctx)
 	}
 	return ctx.Err()
 }
