--- a/cmd/agatestage/main.go
+++ b/cmd/agatestage/main.go
@@ -43,6 +43,7 @@
 	Jobs    jobsCommand    `cmd:"" help:"List batch jobs."`
 	Status  statusCommand  `cmd:"" help:"Print an entry's view of the fleet."`
 	Load    loadCommand    `cmd:"" help:"Offer an open-loop load and report what callers see."`
+	Explain explainCommand `cmd:"" help:"Gather what the logs of several processes tell of one request, item or job."`
 	Burn    burnCommand    `cmd:"" help:"Report the burn of error budgets, per organisation and route."`
 	Demo    demoCommand    `cmd:"" help:"Run the whole path in one process on embedded stand-ins."`
 
