gate/sched: end the batch call that can best do without its slot

Change: an item asks for a slot with the time that it still needs, by the smoothed time of those done; calls that can't be done in time give way first and go last, then those with the most slack. Ruled out: output sizes from the items' headers, which name a bound only. Test: the order in which three calls give way; failed before.

--- a/internal/gate/batch/manager.go
+++ b/internal/gate/batch/manager.go
@@ -82,6 +82,8 @@
 	// placed counts the items that were placed at each gateway, and when, which it
 	// may not have told yet.
 	placed map[string]placement
+	// itemTime is the smoothed time for which an item needs a slot.
+	itemTime time.Duration
 }
 
 // Option changes how a manager is built.
@@ -104,7 +106,7 @@
 		name: self.Name, instance: self.Instance, region: self.Region, clock: clock, vault: &vault{store: store, clock: clock},
 		runner: runner, rules: holder, fleet: fleet, contact: feeds.NewContact(clock), fingerprint: fingerprint,
 		heads: make(map[string]entry), jobs: make(map[string]*job), taking: make(map[string]bool), views: make(map[string]*view),
-		changed: make(chan struct{}), others: alone{}, placed: make(map[string]placement), began: clock.Now(),
+		changed: make(chan struct{}), others: alone{}, placed: make(map[string]placement), began: clock.Now(), itemTime: firstItemTime,
 	}
 	manager.ctx, manager.stop = context.WithCancel(context.Background())
 	for _, option := range options {
--- a/internal/gate/batch/run.go
+++ b/internal/gate/batch/run.go
@@ -29,6 +29,13 @@
 	// or turned away; it doubles up to retryPauseMost.
 	retryPause     = 200 * time.Millisecond
 	retryPauseMost = 3 * time.Second
+	// firstItemTime is how long an item is taken to need a slot before any has been
+	// done here: the users' sheets name about 200 events of 20 to 30 ms.
+	firstItemTime = 5 * time.Second
+	// itemWeight is the weight of one item in the mean of that time, and leastNeed
+	// the part of it that an item which has run for longer may still need.
+	itemWeight = 0.05
+	leastNeed  = 0.2
 	// endlessRuns is how many runs may fail without a word from the target before
 	// the item waits for retryPauseMost each time.
 	endlessRuns = 4
@@ -41,6 +48,8 @@
 type attempts struct {
 	failed int
 	broken int
+	// served is for how long the item has had a slot.
+	served time.Duration
 }
 
 // run runs one item until it has a result or ctx ends.
@@ -57,8 +66,9 @@
 			job.finish(Result{ID: item.ID, Failed: true})
 			return
 		}
-		result := job.send(ctx, item, route, sink)
+		result := job.send(ctx, item, route, sink, tries.served)
 		sink.number = max(sink.number, result.Last)
+		tries.served += result.Served
 		if ctx.Err() != nil {
 			return
 		}
@@ -85,7 +95,7 @@
 }
 
 // send runs the item once, from where it was cut before.
-func (job *job) send(ctx context.Context, item *Item, route *rules.Route, sink *collector) relay.Result {
+func (job *job) send(ctx context.Context, item *Item, route *rules.Route, sink *collector, served time.Duration) relay.Result {
 	call := &agatestage.Call{
 		ID: item.ID, Organisation: job.head.Organisation, Service: route.Service(item.ID), Method: http.MethodPost,
 		Host: job.head.Host, Path: item.Path, Header: headerOf(item), Body: item.Body, Idempotent: true, Batch: true,
@@ -98,7 +108,7 @@
 	now := job.manager.clock.Now()
 	return job.manager.runner.Serve(ctx, call, relay.Plan{
 		Service: call.Service, Repeatable: true, Attempts: 1, Stream: true, Resumable: true, Batch: true,
-		Aim: firstEvent, Gap: gap, Deadline: now.Add(runTime), Due: job.head.Due, After: sink.last(),
+		Aim: firstEvent, Gap: gap, Deadline: now.Add(runTime), Due: job.head.Due, Need: job.manager.need(served), After: sink.last(),
 	}, sink)
 }
 
@@ -107,6 +117,7 @@
 func (job *job) judge(item *Item, route *rules.Route, sink *collector, run *relay.Result, tries *attempts) (Result, bool) {
 	switch {
 	case run.Refusal == nil && run.Status == http.StatusOK:
+		job.manager.noteItem(tries.served)
 		return Result{ID: item.ID, Output: sink.output()}, true
 	case run.Refusal == nil && run.Status == http.StatusUnprocessableEntity:
 		klog.InfoS("item can't be done", "job", job.head.ID, "item", item.ID, "status", run.Status)
@@ -131,6 +142,21 @@
 	return Result{}, false
 }
 
+// need returns for how long an item is likely to need a slot that has had one for a
+// time already.
+func (manager *Manager) need(served time.Duration) time.Duration {
+	manager.mutex.Lock()
+	defer manager.mutex.Unlock()
+	return max(manager.itemTime-served, time.Duration(float64(manager.itemTime)*leastNeed))
+}
+
+// noteItem takes the time that an item has needed into the mean.
+func (manager *Manager) noteItem(served time.Duration) {
+	manager.mutex.Lock()
+	defer manager.mutex.Unlock()
+	manager.itemTime += time.Duration(itemWeight * float64(served-manager.itemTime))
+}
+
 // collector gathers the data of an item's events over all its runs.
 type collector struct {
 	text   [][]byte
--- a/internal/gate/relay/relay.go
+++ b/internal/gate/relay/relay.go
@@ -59,8 +59,9 @@
 	Gap time.Duration
 	// Deadline is when the caller or the route gives up.
 	Deadline time.Time
-	// Due orders batch calls.
-	Due time.Time
+	// Due orders batch calls; Need is for how long one is likely to need its slot.
+	Due  time.Time
+	Need time.Duration
 	// After is the number of the last event that is there already.
 	After int64
 }
@@ -87,6 +88,8 @@
 	Yielded bool
 	// First is when the first event or the whole answer had arrived.
 	First time.Time
+	// Served is for how long the call had a slot.
+	Served time.Duration
 	// Ran says that a target has begun to work on the call, or may have.
 	Ran bool
 }
@@ -185,8 +188,10 @@
 		klog.InfoS("call placed", "call", run.call.ID, "target", ticket.Target.ID, "service", run.plan.Service, "batch", run.plan.Batch,
 			"attempt", run.sent+run.refused+1, "waited", ticket.Waited, "free", ticket.Free, "heardAge", ticket.HeardAge, "way", ticket.Way,
 			"after", run.result.Last)
+		began := run.clock.Now()
 		end := run.attempt(ctx, ticket)
 		ticket.Release(end.failed)
+		run.result.Served += run.clock.Since(began)
 		if end.crashed {
 			run.examine(ticket.Target)
 		}
@@ -215,7 +220,7 @@
 	return run.sched.Acquire(ctx, sched.Ask{
 		Service: run.plan.Service, Batch: run.plan.Batch, Priority: run.plan.Priority,
 		Patience: min(run.plan.Patience, run.plan.Deadline.Sub(run.clock.Now())),
-		Exclude:  run.exclude, Due: run.plan.Due,
+		Exclude:  run.exclude, Due: run.plan.Due, Need: run.plan.Need,
 	})
 }
 
--- a/internal/gate/sched/fleet_test.go
+++ b/internal/gate/sched/fleet_test.go
@@ -172,7 +172,7 @@
 // offer asks for a slot, and queues the call if there is none now.
 func (fleet *playedFleet) offer(gateway *playedGateway, call *playedCall) {
 	now := fleet.clock.Now()
-	ask := Ask{Service: fleetService, Batch: call.batch, Patience: onlineAim * 7 / 10, Due: call.arrived.Add(18 * time.Second)}
+	ask := Ask{Service: fleetService, Batch: call.batch, Patience: onlineAim * 7 / 10, Due: call.arrived.Add(due), Need: call.left}
 	gateway.mutex.Lock()
 	defer gateway.mutex.Unlock()
 	entry := gateway.service(fleetService)
--- a/internal/gate/sched/place.go
+++ b/internal/gate/sched/place.go
@@ -1,6 +1,10 @@
 package sched
 
-import "time"
+import (
+	"cmp"
+	"slices"
+	"time"
+)
 
 // Way is how a slot was found.
 type Way string
@@ -49,10 +53,10 @@
 	}{
 		{WayHome, func() *target { return entry.best(ask, now, 1, atHome) }},
 		{WaySpared, func() *target { return entry.best(ask, now, staleMargin, inZone) }},
-		{WayPreempted, func() *target { return entry.preempt(ask, atHome) }},
+		{WayPreempted, func() *target { return entry.preempt(ask, now, atHome) }},
 		{WaySpared, func() *target { return entry.best(ask, now, staleMargin, inRegion) }},
 		{WayClaimed, func() *target { return entry.claim(ask, now, inRegion) }},
-		{WayPreempted, func() *target { return entry.preempt(ask, anywhere) }},
+		{WayPreempted, func() *target { return entry.preempt(ask, now, anywhere) }},
 		{WaySpared, func() *target { return entry.best(ask, now, staleMargin, anywhere) }},
 		{WayLast, func() *target { return entry.best(ask, now, 1, anywhere) }},
 	} {
@@ -112,7 +116,7 @@
 func (scheduler *Scheduler) give(target *target, way Way, ask Ask, now time.Time) *Ticket {
 	ticket := &Ticket{
 		Target: target.Endpoint, Batch: ask.Batch, Way: way, Free: target.free(now), HeardAge: target.heardAge(now),
-		scheduler: scheduler, began: now, yield: make(chan struct{}),
+		scheduler: scheduler, ask: ask, began: now, yield: make(chan struct{}),
 	}
 	if ask.Batch {
 		target.batch = append(target.batch, ticket)
@@ -148,27 +152,41 @@
 	return choice
 }
 
-// preempt ends the batch call that began last at the nearest target, as it has
-// the least to lose, and returns that target.
-func (entry *service) preempt(ask Ask, suits func(*target) bool) *target {
+// preempt ends a batch call at the nearest target that suits and has any, and
+// returns that target.
+func (entry *service) preempt(ask Ask, now time.Time, suits func(*target) bool) (choice *target) {
 	var victim *Ticket
-	var choice *target
 	for _, target := range entry.targets {
 		if !target.takes(ask) || len(target.batch) == 0 || !suits(target) {
 			continue
 		}
-		last := target.batch[len(target.batch)-1]
-		if choice == nil || target.tier < choice.tier || (target.tier == choice.tier && last.began.After(victim.began)) {
-			choice, victim = target, last
+		candidate := target.victim(now)
+		if choice == nil || target.tier < choice.tier || (target.tier == choice.tier && candidate.spare(now) > victim.spare(now)) {
+			choice, victim = target, candidate
 		}
 	}
-	if choice == nil {
-		return nil
+	if choice != nil {
+		choice.yield(victim)
 	}
-	choice.yield(victim)
 	return choice
 }
 
+// victim returns the batch call that can best do without its slot.
+func (target *target) victim(now time.Time) *Ticket {
+	return slices.MaxFunc(target.batch, func(a, b *Ticket) int { return cmp.Compare(a.spare(now), b.spare(now)) })
+}
+
+// spare returns how well a batch call can do without its slot: one that can't be done
+// in time anyway can best, then the one with the most time left beyond its need.
+func (ticket *Ticket) spare(now time.Time) time.Duration {
+	ask := ticket.ask
+	ask.Need = max(0, ask.Need-now.Sub(ticket.began))
+	if slack := ask.slack(now); slack >= 0 {
+		return slack
+	}
+	return forever
+}
+
 // yield ends a batch call; its slot counts as free at once.
 func (target *target) yield(ticket *Ticket) {
 	target.leave(ticket)
@@ -219,6 +237,6 @@
 		delete(target.remote, gateway)
 	}
 	for range target.excess(now) {
-		target.yield(target.batch[len(target.batch)-1])
+		target.yield(target.victim(now))
 	}
 }
--- a/internal/gate/sched/sched.go
+++ b/internal/gate/sched/sched.go
@@ -44,9 +44,8 @@
 	holdWeight = 0.05
 	// defaultHold is that mean before the first call has ended.
 	defaultHold = 500 * time.Millisecond
-	// batchRun is how long before its due time a batch call must begin to be done
-	// in time: the longest items of the users' sheets run for twice the mean of 4 s.
-	batchRun = 4 * time.Second
+	// forever is the slack of a call that is never due.
+	forever = time.Duration(1<<63 - 1)
 	// minRetryAfter is the shortest time after which a refused caller is told to
 	// come back: below it, the refusal and the new connection take as long.
 	minRetryAfter = 50 * time.Millisecond
@@ -61,8 +60,9 @@
 	Patience time.Duration
 	// Exclude holds the IDs of targets that must not be used again.
 	Exclude []string
-	// Due orders batch calls.
-	Due time.Time
+	// Due orders batch calls; Need is for how long one is likely to need its slot.
+	Due  time.Time
+	Need time.Duration
 }
 
 // Ticket is the right to run one call at a target.
@@ -80,6 +80,7 @@
 	Way Way
 
 	scheduler *Scheduler
+	ask       Ask
 	began     time.Time
 	yield     chan struct{}
 	once      sync.Once
@@ -334,12 +335,20 @@
 
 // lateness is 0 for calls that can be done in time and 1 for the others.
 func lateness(ask Ask, now time.Time) int {
-	if !ask.Due.IsZero() && now.Add(batchRun).After(ask.Due) {
+	if ask.slack(now) < 0 {
 		return 1
 	}
 	return 0
 }
 
+// slack returns for how long a batch call may still wait and be done in time.
+func (ask Ask) slack(now time.Time) time.Duration {
+	if ask.Due.IsZero() {
+		return forever
+	}
+	return ask.Due.Sub(now) - ask.Need
+}
+
 // Down notes that a target couldn't be reached. The prober that OnDown starts
 // calls Up when it can.
 func (scheduler *Scheduler) Down(id string) {
--- a/internal/gate/sched/sched_test.go
+++ b/internal/gate/sched/sched_test.go
@@ -274,7 +274,7 @@
 		for i, due := range []time.Duration{time.Second, time.Minute, time.Minute / 2} {
 			go func() {
 				defer ginkgo.GinkgoRecover()
-				_, err := play.Acquire(context.Background(), sched.Ask{Service: service, Batch: true, Due: play.clock.Now().Add(due)})
+				_, err := play.Acquire(context.Background(), sched.Ask{Service: service, Batch: true, Due: play.clock.Now().Add(due), Need: 4 * time.Second})
 				gomega.Expect(err).NotTo(gomega.HaveOccurred())
 				order <- due.String()
 			}()
@@ -287,6 +287,27 @@
 			gomega.Eventually(order).Should(gomega.Receive(gomega.Equal(want)))
 		}
 	})
+	ginkgo.It("gives way last if it can only just be done in time, and first if it can't", func() {
+		play := newPlay()
+		play.Apply([]agatestage.Endpoint{endpoint("local-0", "near", "a")})
+		names := make(map[*sched.Ticket]string)
+		for _, left := range []time.Duration{5 * time.Second, time.Minute, time.Second} {
+			ticket, err := play.Acquire(context.Background(), sched.Ask{Service: service, Batch: true, Due: play.clock.Now().Add(left), Need: 4 * time.Second})
+			gomega.Expect(err).NotTo(gomega.HaveOccurred())
+			names[ticket] = left.String()
+		}
+		play.online()
+		for _, want := range []string{"1s", "1m0s", "5s"} {
+			play.online()
+			for ticket, name := range names {
+				if yielded([]*sched.Ticket{ticket}) == 1 {
+					gomega.Expect(name).To(gomega.Equal(want))
+					delete(names, ticket)
+				}
+			}
+		}
+		gomega.Expect(names).To(gomega.BeEmpty())
+	})
 	ginkgo.It("waits while online calls wait", func() {
 		play := newPlay()
 		for range 4 * slots {
