gate/batch: hand jobs from gateway to gateway, and spread where they go

A gateway counted the items of a job that it might give away twice, all crowded gateways chose the same least loaded one, and the new owner read from the store what the old one had. Ruled out: no moves at all (items would wait for the slots of one gateway while others are idle). Change: the old owner sends the job itself, and a head that names a process needs no further write; three gateways are looked at for a job, chosen by its ID; a job stays three seconds; its items count once. Test: a job handed over without a read of the store.

--- a/internal/gate/batch/access.go
+++ b/internal/gate/batch/access.go
@@ -133,8 +133,18 @@
 	manager.mutex.Unlock()
 	switch {
 	case owned == nil && after.Owner != manager.name:
-		manager.others.Changed(after.Owner, after.ID)
+		manager.tellOwner(after, Handover{})
 	case owned != nil && !owned.adopt(after):
 		owned.stop()
 	}
 }
+
+// tellOwner tells the owner of a job what has been written to its head.
+func (manager *Manager) tellOwner(written entry, handover Handover) {
+	var err error
+	if handover.Record, err = written.record(); err != nil {
+		klog.ErrorS(err, "owner of a changed job not told", "job", written.ID)
+		return
+	}
+	manager.others.Changed(written.Owner, handover)
+}
--- a/internal/gate/batch/batch_test.go
+++ b/internal/gate/batch/batch_test.go
@@ -115,6 +115,32 @@
 		close(place.engine.hold)
 		expectDone(taker, spec)
 	})
+	ginkgo.It("is handed from gateway to gateway without asking the store for it", func() {
+		place := newPlace()
+		crowded, idle := first, second
+		crowded.Slots, idle.Slots, idle.Backlog = 10, 10, 100
+		place.fleet.set(crowded, idle)
+		peers := &peers{managers: make(map[string]*batch.Manager)}
+		giver, _ := place.start(first, batch.WithOthers(peers))
+		taker, _ := place.start(second, batch.WithOthers(peers))
+		peers.link(first.Name, giver)
+		peers.link(second.Name, taker)
+		place.engine.hold = make(chan struct{})
+		spec := place.spec("job", 4)
+		gomega.Expect(giver.Submit(context.Background(), spec)).To(gomega.Succeed())
+		reads := func() int64 { return place.store.Counts().Reads }
+		// Each gateway lists the heads once.
+		gomega.Eventually(reads, patience).Should(gomega.Equal(int64(2)))
+		crowded.Backlog, idle.Backlog = 100, 0
+		place.fleet.set(crowded, idle)
+		gomega.Eventually(func() bool {
+			_, ok := taker.Tell("job", 0)
+			return ok
+		}, patience).Should(gomega.BeTrue())
+		gomega.Expect(reads()).To(gomega.Equal(int64(2)))
+		close(place.engine.hold)
+		expectDone(taker, spec)
+	})
 	ginkgo.It("stays where it came in unless another gateway has clearly less to do", func() {
 		place := newPlace()
 		near, far := first, second
--- a/internal/gate/batch/job.go
+++ b/internal/gate/batch/job.go
@@ -299,7 +299,9 @@
 		return
 	}
 	head := before.Head
-	head.Owner, head.Instance = to.Name, to.Instance
+	if head.Owner, head.Instance = to.Name, to.Instance; to.Name != "" {
+		head.Epoch++
+	}
 	data, err := encodeProgress(progress)
 	if err != nil {
 		klog.ErrorS(err, "progress of items not handed over", "job", head.ID)
@@ -316,7 +318,8 @@
 	}
 	job.manager.note(after)
 	if to.Name != "" {
-		job.manager.others.Changed(to.Name, head.ID)
+		_, listed, _ := job.view()
+		job.manager.tellOwner(after, Handover{Whole: true, Items: job.items, Results: listed, Progress: progress})
 	}
 	klog.InfoS("job handed over", "job", head.ID, "to", to.Name, "results", head.Results, "items", head.Items, "begun", len(progress))
 }
--- a/internal/gate/batch/place.go
+++ b/internal/gate/batch/place.go
@@ -1,9 +1,12 @@
 package batch
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"k8s.io/klog/v2"
 )
 
@@ -18,8 +21,11 @@
 	// crowded is the number of items for each slot from which a gateway gives jobs
 	// away: then about as many wait as run.
 	crowded = 1.5
-	// settledFor is how long a job stays with its owner before it may move.
-	settledFor = time.Second
+	// settledFor is how long a job stays with its owner before it may move: a move
+	// costs the store four calls and its running items their slots.
+	settledFor = 3 * time.Second
+	// choices is how many other gateways are looked at for one job.
+	choices = 3
 	// moveTime bounds one move.
 	moveTime = 3 * time.Second
 	// placedFor is how long items that were placed at a gateway are counted beside
@@ -38,47 +44,64 @@
 	return float64(gateway.Backlog+more) / float64(max(1, gateway.Slots))
 }
 
-// place chooses the gateway that is to own a job: this one, unless another has
+// place chooses the gateway that is to own a new job: this one, unless another has
 // clearly less to do for its slots. A burst of jobs that comes to one gateway would
 // otherwise wait there while others are idle.
-func (manager *Manager) place(items int) Gateway {
-	chosen, _ := manager.choose(items)
-	return chosen
+func (manager *Manager) place(id string, items int) Gateway {
+	self, others := manager.loads()
+	return manager.choose(self, others, id, items, self.load(items))
 }
 
-// choose returns the gateway with the least to do and how many items there are
-// for each slot here.
-func (manager *Manager) choose(items int) (chosen Gateway, crowd float64) {
+// loads returns this gateway and the others, with what was placed there lately.
+func (manager *Manager) loads() (self Gateway, others []Gateway) {
+	self = Gateway{Name: manager.name, Instance: manager.instance, Region: manager.region}
 	now := manager.clock.Now()
-	self := Gateway{Name: manager.name, Instance: manager.instance, Region: manager.region}
 	alive := manager.fleet.Alive()
 	manager.mutex.Lock()
 	defer manager.mutex.Unlock()
-	for i := range alive {
-		if recent := manager.placed[alive[i].Name]; now.Before(recent.until) {
-			alive[i].Backlog += recent.items
+	for _, gateway := range alive {
+		if recent := manager.placed[gateway.Name]; now.Before(recent.until) {
+			gateway.Backlog += recent.items
 		}
-		if alive[i].Name == manager.name && alive[i].Instance == manager.instance {
-			self = alive[i]
+		switch {
+		case gateway.Name != manager.name:
+			others = append(others, gateway)
+		case gateway.Instance == manager.instance:
+			self = gateway
 		}
 	}
-	chosen, least := self, self.load(items)
-	crowd = self.load(0)
-	for _, other := range alive {
+	return self, others
+}
+
+// choose returns this gateway, which would have a load, or one of a few others that
+// has clearly less to do with the items. Which are looked at depends on the job, as all
+// gateways would otherwise choose the same one before it has told of the first.
+func (manager *Manager) choose(self Gateway, others []Gateway, id string, items int, load float64) Gateway {
+	slices.SortFunc(others, func(a, b Gateway) int { return cmp.Compare(rank(b.Name, id), rank(a.Name, id)) })
+	chosen, least := self, load
+	for _, other := range others[:min(len(others), choices)] {
 		gain := moveGain
 		if other.Region != manager.region {
 			gain = regionGain
 		}
-		if cost := other.load(items) + gain; other.Name != manager.name && other.Slots > 0 && cost < least {
+		if cost := other.load(items) + gain; other.Slots > 0 && cost < least {
 			chosen, least = other, cost
 		}
 	}
+	now := manager.clock.Now()
+	manager.mutex.Lock()
+	defer manager.mutex.Unlock()
 	recent := manager.placed[chosen.Name]
 	if !now.Before(recent.until) {
 		recent.items = 0
 	}
 	manager.placed[chosen.Name] = placement{items: recent.items + items, until: now.Add(placedFor)}
-	return chosen, crowd
+	return chosen
+}
+
+// rank orders gateways in a way of its own for each job.
+func rank(gateway, id string) uint64 {
+	return xxhash.Sum64String(gateway + "/" + id)
 }
 
 // balance gives one job to a gateway with clearly less to do if more items wait
@@ -88,12 +111,18 @@
 	if manager.fleet.Silent() > 0 {
 		return
 	}
+	self, others := manager.loads()
+	crowd := self.load(0)
+	if crowd < crowded {
+		return
+	}
 	job := manager.movable()
 	if job == nil {
 		return
 	}
-	to, crowd := manager.choose(job.left())
-	if to.Name == manager.name || crowd < crowded {
+	// The job's items are in this gateway's load already.
+	to := manager.choose(self, others, job.head.ID, job.left(), crowd)
+	if to.Name == manager.name {
 		return
 	}
 	manager.mutex.Lock()
--- a/internal/gate/batch/record.go
+++ b/internal/gate/batch/record.go
@@ -160,3 +160,10 @@
 	head, err := decodeHead(record.Value)
 	return entry{Head: head, version: record.Version}, err
 }
+
+// record returns the entry as it lies in the store.
+func (entry entry) record() (record agatestage.Record, err error) {
+	record = agatestage.Record{Key: headKey(entry.ID), Version: entry.version}
+	record.Value, err = entry.encode()
+	return record, err
+}
--- a/internal/gate/batch/results.go
+++ b/internal/gate/batch/results.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/agatestage/agatestage"
 )
 
 // Page is a part of a job's results.
@@ -24,9 +26,21 @@
 	// Ask asks the owner of a job for its head and the results from a position
 	// on. It returns false if the owner can't be reached or isn't the owner.
 	Ask(ctx context.Context, owner, id string, after int) (Answer, bool)
-	// Changed tells the owner of a job that its head has been changed. Owners also
+	// Changed tells the owner of a job what has been written to its head. Owners also
 	// see that by themselves, later.
-	Changed(owner, id string)
+	Changed(owner string, handover Handover)
+}
+
+// Handover is what a gateway that has written the head of a job tells the job's owner,
+// so that it need not ask the store.
+type Handover struct {
+	// Record is the head.
+	Record agatestage.Record
+	// Whole says that the job is handed over, with all there is of it.
+	Whole    bool
+	Items    []Item
+	Results  []Result
+	Progress []Progress
 }
 
 // alone is a gateway that reaches no other.
@@ -36,7 +50,7 @@
 func (alone) Ask(context.Context, string, string, int) (Answer, bool) { return Answer{}, false }
 
 // Changed implements Others.
-func (alone) Changed(string, string) {}
+func (alone) Changed(string, Handover) {}
 
 // Answer is what an owner tells of its job.
 type Answer struct {
--- a/internal/gate/batch/rig_test.go
+++ b/internal/gate/batch/rig_test.go
@@ -133,10 +133,44 @@
 	}}}), "test")
 }
 
+// peers passes on what gateways tell one another.
+type peers struct {
+	mutex    sync.Mutex
+	managers map[string]*batch.Manager
+}
+
+func (peers *peers) manager(name string) *batch.Manager {
+	peers.mutex.Lock()
+	defer peers.mutex.Unlock()
+	return peers.managers[name]
+}
+
+// Ask implements batch.Others.
+func (peers *peers) Ask(_ context.Context, owner, id string, after int) (batch.Answer, bool) {
+	if manager := peers.manager(owner); manager != nil {
+		return manager.Tell(id, after)
+	}
+	return batch.Answer{}, false
+}
+
+// Changed implements batch.Others.
+func (peers *peers) Changed(owner string, handover batch.Handover) {
+	if manager := peers.manager(owner); manager != nil {
+		go manager.Changed(handover)
+	}
+}
+
+// link makes managers tell one another.
+func (peers *peers) link(name string, manager *batch.Manager) {
+	peers.mutex.Lock()
+	defer peers.mutex.Unlock()
+	peers.managers[name] = manager
+}
+
 // start runs a gateway's manager.
-func (place *place) start(gateway batch.Gateway) (*batch.Manager, context.CancelFunc) {
+func (place *place) start(gateway batch.Gateway, options ...batch.Option) (*batch.Manager, context.CancelFunc) {
 	manager := batch.New(gateway, place.store, agatestage.SystemClock(), place.engine, place.holder, place.fleet,
-		func(*agatestage.Call) uint64 { return 0 })
+		func(*agatestage.Call) uint64 { return 0 }, options...)
 	ctx, cancel := context.WithCancel(context.Background())
 	ginkgo.DeferCleanup(func() {
 		cancel()
--- a/internal/gate/batch/submit.go
+++ b/internal/gate/batch/submit.go
@@ -81,7 +81,7 @@
 	if giveUp <= 0 {
 		giveUp = defaultGiveUp
 	}
-	owner := manager.place(len(spec.Items))
+	owner := manager.place(spec.ID, len(spec.Items))
 	head := Head{
 		ID: spec.ID, Organisation: spec.Organisation, Route: spec.Route.Name, Host: spec.Host, Region: manager.region,
 		Items: len(spec.Items), Parts: len(parts), Digest: digest, State: StateOpen,
@@ -115,7 +115,7 @@
 	manager.keep(accepted)
 	if accepted.Owner != manager.name {
 		manager.view(spec.ID).items = spec.Items
-		manager.others.Changed(accepted.Owner, spec.ID)
+		manager.tellOwner(accepted, Handover{Whole: true, Items: spec.Items})
 		return
 	}
 	if manager.jobs[spec.ID] == nil && !manager.draining {
--- a/internal/gate/batch/take.go
+++ b/internal/gate/batch/take.go
@@ -6,7 +6,6 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 	"k8s.io/klog/v2"
 )
@@ -82,25 +81,35 @@
 		return false
 	}
 	heir := slices.MaxFunc(near, func(a, b Gateway) int {
-		return cmp.Compare(xxhash.Sum64String(a.Name+"/"+head.ID), xxhash.Sum64String(b.Name+"/"+head.ID))
+		return cmp.Compare(rank(a.Name, head.ID), rank(b.Name, head.ID))
 	})
 	return heir.Name == manager.name
 }
 
-// take makes this gateway the owner of a job and goes on with it.
+// names reports whether a head names this process as the job's owner.
+func (manager *Manager) names(head Head) bool {
+	return head.Owner == manager.name && head.Instance == manager.instance
+}
+
+// take makes this gateway the owner of a job, unless it is already, and goes on with
+// it.
 func (manager *Manager) take(ctx context.Context, orphan entry) {
 	defer manager.taken(orphan.ID)
-	head := orphan.Head
-	head.Owner, head.Instance, head.Epoch = manager.name, manager.instance, head.Epoch+1
-	taken, err := manager.vault.write(ctx, orphan, head)
+	taken, err := orphan, error(nil)
+	if !manager.names(orphan.Head) {
+		next := orphan.Head
+		next.Owner, next.Instance, next.Epoch = manager.name, manager.instance, next.Epoch+1
+		taken, err = manager.vault.write(ctx, orphan, next)
+	}
 	if errors.Is(err, errMoved) {
-		manager.refetch(ctx, head.ID)
+		manager.refetch(ctx, orphan.ID)
 		return
 	}
 	if err != nil {
-		klog.InfoS("job not taken over", "job", head.ID, "error", err.Error())
+		klog.InfoS("job not taken over", "job", orphan.ID, "error", err.Error())
 		return
 	}
+	head := taken.Head
 	var items []Item
 	var listed []Result
 	if items, err = manager.vault.items(ctx, head); err == nil {
@@ -148,20 +157,24 @@
 	}
 }
 
-// Changed looks at a job of this gateway that another one has changed or placed
-// here.
-func (manager *Manager) Changed(ctx context.Context, id string) {
-	manager.refetch(ctx, id)
+// Changed takes what another gateway has written to the head of a job of this one.
+func (manager *Manager) Changed(handover Handover) {
+	seen, err := decodeEntry(handover.Record)
+	if err != nil {
+		klog.ErrorS(err, "job head told by another gateway is not readable", "key", handover.Record.Key)
+		return
+	}
 	manager.mutex.Lock()
-	head := manager.heads[id]
-	placed := head.Open() && head.Owner == manager.name && head.Instance == manager.instance &&
-		manager.jobs[id] == nil && !manager.taking[id] && !manager.draining
-	if placed {
-		manager.taking[id] = true
+	owned := manager.keep(seen)
+	newest := manager.heads[seen.ID].version == seen.version
+	if handover.Whole && newest && seen.Open() && manager.names(seen.Head) && owned == nil && !manager.taking[seen.ID] && !manager.draining {
+		klog.InfoS("job handed over to this gateway", "job", seen.ID, "epoch", seen.Epoch, "results", seen.Results, "items", seen.Items, "begun", len(handover.Progress))
+		manager.begin(seen, handover.Items, handover.Results, handover.Progress)
 	}
 	manager.mutex.Unlock()
-	if placed {
-		manager.take(manager.ctx, head)
+	if owned != nil && !owned.adopt(seen) {
+		klog.InfoS("job is no longer run here", "job", seen.ID, "epoch", seen.Epoch, "state", seen.State)
+		owned.stop()
 	}
 }
 
--- a/internal/gate/start/jobs.go
+++ b/internal/gate/start/jobs.go
@@ -16,15 +16,20 @@
 // kindJob is the exchange by which a gateway asks the owner of a job.
 const kindJob = "GatewayJob"
 
-// jobTimeout bounds the exchange; the store is asked after it.
-const jobTimeout = 300 * time.Millisecond
+const (
+	// jobTimeout bounds a question; the store is asked after it.
+	jobTimeout = 300 * time.Millisecond
+	// handoverTimeout bounds the handing over of a job, which may be some megabytes
+	// on a link of 30 Mbit/s. What doesn't arrive is read from the store.
+	handoverTimeout = 2 * time.Second
+)
 
-// question asks for a job's head and its results from After on, or tells its
-// owner that the head has been changed.
+// question asks for a job's head and its results from After on, or hands over what
+// has been written to its head.
 type question struct {
-	ID      string
-	After   int
-	Changed bool
+	ID       string
+	After    int
+	Handover *batch.Handover
 }
 
 // told is the owner's answer.
@@ -42,6 +47,8 @@
 
 // Ask implements batch.Others.
 func (owners *owners) Ask(ctx context.Context, owner, id string, after int) (batch.Answer, bool) {
+	ctx, cancel := context.WithTimeout(ctx, jobTimeout)
+	defer cancel()
 	reply, err := owners.exchange(ctx, owner, question{ID: id, After: after})
 	if err != nil {
 		klog.V(1).InfoS("owner of a job not heard", "owner", owner, "job", id, "error", err.Error())
@@ -50,10 +57,12 @@
 }
 
 // Changed implements batch.Others.
-func (owners *owners) Changed(owner, id string) {
+func (owners *owners) Changed(owner string, handover batch.Handover) {
 	go func() {
-		if _, err := owners.exchange(context.Background(), owner, question{ID: id, Changed: true}); err != nil {
-			klog.InfoS("owner of a changed job not told", "owner", owner, "job", id, "error", err.Error())
+		ctx, cancel := context.WithTimeout(context.Background(), handoverTimeout)
+		defer cancel()
+		if _, err := owners.exchange(ctx, owner, question{Handover: &handover}); err != nil {
+			klog.InfoS("owner of a changed job not told", "owner", owner, "key", handover.Record.Key, "error", err.Error())
 		}
 	}()
 }
@@ -64,21 +73,19 @@
 	if !ok {
 		return reply, errors.Errorf("the address of gateway %q is not known", owner)
 	}
-	ctx, cancel := context.WithTimeout(ctx, jobTimeout)
-	defer cancel()
 	err = owners.node.Ask(ctx, address, kindJob, asked, &reply)
 	return reply, err
 }
 
 // serveJob answers other gateways.
 func serveJob(jobs *batch.Manager) link.Handler {
-	return func(ctx context.Context, _ certs.Identity, stream *link.Stream) error {
+	return func(_ context.Context, _ certs.Identity, stream *link.Stream) error {
 		var asked question
 		if err := stream.Receive(&asked); err != nil {
 			return err
 		}
-		if asked.Changed {
-			jobs.Changed(ctx, asked.ID)
+		if asked.Handover != nil {
+			jobs.Changed(*asked.Handover)
 			return stream.Send(told{})
 		}
 		answer, known := jobs.Tell(asked.ID, asked.After)
