gate/sched, gate/relay: notice targets that go dark by the silence of all their calls

Ruled out: shorter aims for the first attempt (engines that queue would lose calls that they are about to serve); probing (priced, and dear on one site). Change: a target that gives no sign to several calls for 250 ms, or broke one, is kept from new calls while one new connection is tried.

--- a/internal/gate/relay/attempt.go
+++ b/internal/gate/relay/attempt.go
@@ -156,6 +156,7 @@
 	for {
 		n, readErr := answer.Read(buffer)
 		if n > 0 {
+			guard.ticket.Sign()
 			guard.progress(run.plan.Gap * silentStream)
 			ready, err := scanner.add(buffer[:n])
 			if err != nil {
@@ -222,15 +223,16 @@
 // guard ends an exchange whose target is silent for too long, or whose slot is
 // wanted for an online call.
 type guard struct {
-	timer clock.Timer
-	how   atomic.Int32
-	quit  chan struct{}
+	ticket *sched.Ticket
+	timer  clock.Timer
+	how    atomic.Int32
+	quit   chan struct{}
 }
 
 // newGuard watches an attempt. Only calls that may go on elsewhere are ended for
 // silence.
 func (run *run) newGuard(ctx context.Context, cancel context.CancelFunc, ticket *sched.Ticket) *guard {
-	guard := &guard{quit: make(chan struct{})}
+	guard := &guard{ticket: ticket, quit: make(chan struct{})}
 	first := run.plan.Aim
 	if run.result.Begun || run.plan.After > 0 {
 		first = max(first, run.plan.Gap)
--- a/internal/gate/sched/sched.go
+++ b/internal/gate/sched/sched.go
@@ -83,7 +83,9 @@
 	ask       Ask
 	began     time.Time
 	yield     chan struct{}
-	once      sync.Once
+	// signed says that the target has sent something of the answer.
+	signed bool
+	once   sync.Once
 }
 
 // waiter is a call without a slot.
@@ -283,9 +285,12 @@
 	defer scheduler.mutex.Unlock()
 	now := scheduler.clock.Now()
 	entry := scheduler.service(ticket.Target.Service)
-	if target := scheduler.targets[ticket.Target.ID]; target != nil && target.Started.Equal(ticket.Target.Started) {
+	if target := scheduler.current(ticket); target != nil {
 		target.leave(ticket)
 		target.note(failed, now)
+		if ticket.signed {
+			target.streams--
+		}
 	}
 	if !ticket.Batch {
 		entry.hold += time.Duration(holdWeight * float64(now.Sub(ticket.began)-entry.hold))
@@ -348,51 +353,3 @@
 	}
 	return ask.Due.Sub(now) - ask.Need
 }
-
-// Down notes that a target couldn't be reached. The prober that OnDown starts
-// calls Up when it can.
-func (scheduler *Scheduler) Down(id string) {
-	scheduler.mutex.Lock()
-	target := scheduler.targets[id]
-	if target == nil || target.down {
-		scheduler.mutex.Unlock()
-		return
-	}
-	target.down = true
-	endpoint := target.Endpoint
-	scheduler.mutex.Unlock()
-	scheduler.onDown(endpoint)
-}
-
-// Up notes that a target can be reached again.
-func (scheduler *Scheduler) Up(id string) {
-	scheduler.mutex.Lock()
-	defer scheduler.mutex.Unlock()
-	if target := scheduler.targets[id]; target != nil {
-		target.down = false
-		scheduler.dispatch(scheduler.service(target.Service), scheduler.clock.Now())
-	}
-}
-
-// Leave stops using an incarnation whose address another one has, until the
-// list of targets says more.
-func (scheduler *Scheduler) Leave(id string) {
-	scheduler.mutex.Lock()
-	defer scheduler.mutex.Unlock()
-	if target := scheduler.targets[id]; target != nil {
-		target.Draining = true
-	}
-}
-
-// Backoff returns how long to wait before the n-th look at a target that
-// couldn't be reached.
-func Backoff(n int) time.Duration {
-	return min(lastBackoff, firstBackoff<<min(n, 8))
-}
-
-// Has reports whether a target is listed.
-func (scheduler *Scheduler) Has(id string) bool {
-	scheduler.mutex.Lock()
-	defer scheduler.mutex.Unlock()
-	return scheduler.targets[id] != nil
-}
--- a/internal/gate/sched/target.go
+++ b/internal/gate/sched/target.go
@@ -13,6 +13,12 @@
 	// back after seconds.
 	firstBackoff = 300 * time.Millisecond
 	lastBackoff  = 2 * time.Second
+	// stalledAfter is how long a target may give no sign to any of the calls that run
+	// there: eight of the pauses between the events of one stream.
+	stalledAfter = 250 * time.Millisecond
+	// stalledCalls is how many calls must run there for their silence to tell
+	// something about the target.
+	stalledCalls = 2
 	// heardFor is how long what another gateway has told about its calls holds.
 	heardFor = 1500 * time.Millisecond
 	// failureWeight is the weight of one call in a target's failure rate: the
@@ -33,8 +39,14 @@
 	batch  []*Ticket
 	// remote is what the other gateways have there.
 	remote map[string]remote
-	// down says that the target couldn't be reached; a prober looks after it.
-	down bool
+	// down says that the target couldn't be reached; a prober looks after it. Suspect
+	// says that it is being examined whether it can be.
+	down    bool
+	suspect bool
+	// streams counts the calls of this gateway that have had a sign of the target;
+	// signed is when the last of these signs came.
+	streams int
+	signed  time.Time
 	// failures is the smoothed rate of calls that failed there, at failedAt.
 	failures float64
 	failedAt time.Time
@@ -104,7 +116,13 @@
 
 // usable reports whether calls may go to the target at all.
 func (target *target) usable() bool {
-	return !target.Draining && !target.down
+	return !target.Draining && !target.down && !target.suspect
+}
+
+// stalled reports whether no call of this gateway has a sign of the target, though
+// several had.
+func (target *target) stalled(now time.Time) bool {
+	return target.streams >= stalledCalls && now.Sub(target.signed) > stalledAfter
 }
 
 // takes reports whether the call may go to the target at all.
--- a/internal/gate/start/start.go
+++ b/internal/gate/start/start.go
@@ -180,6 +180,7 @@
 			gateway.idle.sweep()
 		})
 	}))
+	gateway.tree.Start("targets", super.Func("silent targets", parts.Relay.Watch))
 	gateway.tree.Start("batch", parts.Jobs)
 	klog.InfoS("gateway starts", "name", gateway.settings.Name, "zone", gateway.settings.Zone, "region", gateway.settings.Region,
 		"callers", gateway.settings.Listen.Caller, "peers", gateway.settings.Listen.Peer, "metrics", gateway.settings.Listen.Metrics)
--- a/internal/gate/start/wire.go
+++ b/internal/gate/start/wire.go
@@ -45,6 +45,7 @@
 	Roster  *member.Roster
 	Holder  *rules.Holder
 	Pool    *conns.Pool
+	Relay   *relay.Relay
 	View    *view
 	Mesh    *gossip.Mesh
 	Jobs    *batch.Manager
