gate/batch: write what there is of running items beside their job's results

Ruled out: writes of their own every few seconds (17 calls a second on the grown site, where calls are the largest price); disks of storage machines (a second protocol for a few seconds of work). Change: the progress record goes with each group of results; the collector of an item's events can be read while the item runs, and counts events as they arrive. Test: an item goes on after its gateway is lost from what was written with another's result; failed before.

--- a/internal/gate/batch/batch_test.go
+++ b/internal/gate/batch/batch_test.go
@@ -219,6 +219,31 @@
 		result := expectDone(heir, spec)[0]
 		gomega.Expect(string(result.Output)).To(gomega.Equal("job-0-1\njob-0-2\njob-0-3\njob-0-4"))
 	})
+	ginkgo.It("goes on from the events that were written beside results when its gateway is lost", func() {
+		place := newPlace()
+		place.fleet.set(first, second)
+		owner, kill := place.start(first)
+		heir, _ := place.start(second)
+		place.engine.serve = func(item string, run int) relay.Result {
+			if item == "job-0" && run == 1 {
+				return relay.Result{Status: http.StatusOK, Yielded: true, Refusal: agatestage.Refuse(agatestage.CodeYielded, "yielded")}
+			}
+			return relay.Result{Status: http.StatusOK}
+		}
+		place.engine.pause = make(chan struct{})
+		spec := place.spec("job", 2)
+		gomega.Expect(owner.Submit(context.Background(), spec)).To(gomega.Succeed())
+		gomega.Eventually(func() int { return len(results(owner, spec.ID).Results) }, patience).Should(gomega.Equal(1))
+		gomega.Eventually(func() int { return place.engine.count("job-0") }, patience).Should(gomega.Equal(2))
+		kill()
+		place.fleet.set(second)
+		close(place.engine.pause)
+		outputs := make(map[string]string)
+		for _, result := range expectDone(heir, spec) {
+			outputs[result.ID] = string(result.Output)
+		}
+		gomega.Expect(outputs["job-0"]).To(gomega.Equal("job-0-1\njob-0-2\njob-0-3\njob-0-4"))
+	})
 	ginkgo.It("that ends stays as it is", func() {
 		place := newPlace()
 		place.fleet.set(first, second)
--- a/internal/gate/batch/job.go
+++ b/internal/gate/batch/job.go
@@ -170,15 +170,16 @@
 	return job.stopped || !job.entry.Open() || len(job.listed) >= len(job.items)
 }
 
-// commit writes the results that wait, with the head that counts them, and the
-// counts of failures if they have changed.
+// commit writes the results that wait, with the head that counts them, and what
+// there is of unfinished items.
 func (job *job) commit(ctx context.Context) (err error) {
 	job.mutex.Lock()
-	before, ready, progress := job.entry, slices.Clone(job.ready), job.counts()
+	before, ready, progress := job.entry, slices.Clone(job.ready), job.unfinishedProgress()
+	unwritten := job.unwritten
 	job.unwritten = false
 	job.mutex.Unlock()
 	defer func() {
-		if err != nil && len(progress) > 0 {
+		if err != nil && unwritten {
 			job.mutex.Lock()
 			defer job.mutex.Unlock()
 			job.unwritten = true
@@ -212,7 +213,7 @@
 	}
 	job.manager.note(after)
 	job.list(after, ready)
-	klog.InfoS("results listed", "job", head.ID, "epoch", head.Epoch, "results", head.Results, "items", head.Items, "failing", len(progress), "version", after.version)
+	klog.InfoS("results listed", "job", head.ID, "epoch", head.Epoch, "results", head.Results, "items", head.Items, "begun", len(progress), "version", after.version)
 	return nil
 }
 
--- a/internal/gate/batch/progress.go
+++ b/internal/gate/batch/progress.go
@@ -6,7 +6,8 @@
 )
 
 // Progress is what there is of an unfinished item: the data of its events up to
-// a number, which a planned stop hands over, and how often targets have failed it.
+// a number, and how often targets have failed it. It is written beside results, so
+// that it costs no call of its own, and when a job is handed over.
 type Progress struct {
 	ID     string   `cbor:"1,keyasint"`
 	Number int64    `cbor:"2,keyasint,omitempty"`
@@ -54,24 +55,23 @@
 	job.rouse()
 }
 
-// counts returns the counts of failures that the store lacks; the mutex is held.
-func (job *job) counts() (all []Progress) {
-	if !job.unwritten {
-		return nil
-	}
-	for item, count := range job.failed {
-		all = append(all, Progress{ID: item, Failed: count})
-	}
-	return all
+// progress returns what there is of unfinished items.
+func (job *job) progress() []Progress {
+	job.mutex.Lock()
+	defer job.mutex.Unlock()
+	return job.unfinishedProgress()
 }
 
-// progress returns what there is of unfinished items, after their runs have
-// ended.
-func (job *job) progress() (all []Progress) {
+// unfinishedProgress returns what there is of unfinished items; the mutex is held.
+func (job *job) unfinishedProgress() (all []Progress) {
 	for _, item := range job.items {
-		sink, failed := job.sinks[item.ID], job.failures(item.ID)
-		if !job.done[item.ID] && sink != nil && (sink.number > 0 || failed > 0) {
-			all = append(all, Progress{ID: item.ID, Number: sink.number, Text: sink.text, Failed: failed})
+		sink := job.sinks[item.ID]
+		if job.done[item.ID] || sink == nil {
+			continue
+		}
+		progress := Progress{ID: item.ID, Failed: job.failed[item.ID]}
+		if progress.Number, progress.Text = sink.snapshot(); progress.Number > 0 || progress.Failed > 0 {
+			all = append(all, progress)
 		}
 	}
 	return all
--- a/internal/gate/batch/run.go
+++ b/internal/gate/batch/run.go
@@ -1,7 +1,6 @@
 package batch
 
 import (
-	"bytes"
 	"context"
 	"net/http"
 	"strings"
@@ -67,7 +66,6 @@
 			return
 		}
 		result := job.send(ctx, item, route, sink, tries.served)
-		sink.number = max(sink.number, result.Last)
 		tries.served += result.Served
 		if ctx.Err() != nil {
 			return
@@ -156,42 +154,3 @@
 	defer manager.mutex.Unlock()
 	manager.itemTime += time.Duration(itemWeight * float64(served-manager.itemTime))
 }
-
-// collector gathers the data of an item's events over all its runs.
-type collector struct {
-	text   [][]byte
-	number int64
-	status int
-}
-
-// last returns the number of the last event that was gathered.
-func (collector *collector) last() int64 {
-	return collector.number
-}
-
-// Head implements relay.Sink.
-func (collector *collector) Head(status int, _ http.Header, _ int) error {
-	collector.status = status
-	return nil
-}
-
-// Data implements relay.Sink. It is given whole events.
-func (collector *collector) Data(data []byte) error {
-	if collector.status != http.StatusOK {
-		return nil
-	}
-	for line := range bytes.Lines(data) {
-		value, ok := bytes.CutPrefix(line, []byte("data:"))
-		if !ok {
-			continue
-		}
-		value = bytes.TrimSuffix(bytes.TrimSuffix(value, []byte("\n")), []byte("\r"))
-		collector.text = append(collector.text, bytes.Clone(bytes.TrimPrefix(value, []byte(" "))))
-	}
-	return nil
-}
-
-// output returns the data of all events, one a line.
-func (collector *collector) output() []byte {
-	return bytes.Join(collector.text, []byte("\n"))
-}
