gate: poll the list of targets twice a second at most, and tidy names

A leaving target still serves for three seconds or more. Change: 0.5 s between two polls instead of 0.3 s; an unused field and a parameter named like a type are gone.

--- a/internal/gate/batch/job.go
+++ b/internal/gate/batch/job.go
@@ -116,7 +116,8 @@
 	}
 }
 
-// commitAll writes results and counts of failures in groups until the job has ended or is stopped.
+// commitAll writes results and counts of failures in groups until the job has
+// ended or is stopped.
 func (job *job) commitAll(ctx context.Context) {
 	for {
 		if job.complete() {
--- a/internal/gate/feeds/targets.go
+++ b/internal/gate/feeds/targets.go
@@ -20,7 +20,7 @@
 	sweepPeriod = 200 * time.Millisecond
 	// targetsPace is the least time between two polls of the list. It is taken off
 	// the seconds that a leaving target still serves.
-	targetsPace = 300 * time.Millisecond
+	targetsPace = 500 * time.Millisecond
 )
 
 // Targets follows the list of targets.
--- a/internal/gate/sched/fleet_test.go
+++ b/internal/gate/sched/fleet_test.go
@@ -42,7 +42,6 @@
 	first  time.Time
 	ticket *Ticket
 	wait   *waiter
-	done   time.Time
 }
 
 // playedEngine runs calls in order of arrival.
--- a/internal/gate/sched/place.go
+++ b/internal/gate/sched/place.go
@@ -206,8 +206,7 @@
 	return held
 }
 
-// Hear takes what another gateway has at each target. Batch calls of this
-// gateway give way at targets that have become full and aren't its home.
+// Hear takes what another gateway has at each target.
 func (scheduler *Scheduler) Hear(gateway string, held map[string]Held) {
 	scheduler.mutex.Lock()
 	defer scheduler.mutex.Unlock()
@@ -228,10 +227,10 @@
 	}
 }
 
-// hear takes what another gateway has at the target, if anything. Batch calls of
+// hear takes what another gateway has at the target, if it is there at all. Batch calls of
 // this gateway give way if that makes the target's calls too many.
-func (target *target) hear(gateway string, held Held, any bool, now time.Time) {
-	if any {
+func (target *target) hear(gateway string, held Held, there bool, now time.Time) {
+	if there {
 		target.remote[gateway] = remote{Held: held, at: now}
 	} else {
 		delete(target.remote, gateway)
