gate/relay, gate/sched: try batch calls anew that a target turns away

'agatestage explain' shows its item turned away by the gateway's only home within 2 ms and placed again 60 s later: since batch calls keep to homes, one that had excluded all of them waited for a slot that nobody would give it. Tests: both, failed before.

--- a/internal/gate/batch/run.go
+++ b/internal/gate/batch/run.go
@@ -123,7 +123,8 @@
 	case run.Refusal == nil && run.Status == http.StatusInternalServerError:
 		tries.failed++
 		job.noteFailure(item.ID, tries.failed)
-	case run.Yielded:
+	case run.Yielded, run.Refusal != nil && run.Refusal.Code == agatestage.CodeBusy && job.inTime():
+		// Nothing is wrong with the item or its target.
 		return Result{}, false
 	default:
 		tries.broken++
@@ -133,13 +134,18 @@
 		klog.InfoS("item given up", "job", job.head.ID, "item", item.ID, "failed", tries.failed)
 		return Result{ID: item.ID, Failed: true}, true
 	}
-	if job.manager.clock.Now().After(job.head.GiveUp.Add(clockMargin)) {
+	if !job.inTime() {
 		klog.InfoS("item given up", "job", job.head.ID, "item", item.ID, "reason", "its time is over")
 		return Result{ID: item.ID, Failed: true}, true
 	}
 	return Result{}, false
 }
 
+// inTime reports whether the job's items must still be tried.
+func (job *job) inTime() bool {
+	return !job.manager.clock.Now().After(job.head.GiveUp.Add(clockMargin))
+}
+
 // need returns for how long an item is likely to need a slot that has had one for a
 // time already.
 func (manager *Manager) need(served time.Duration) time.Duration {
--- a/internal/gate/relay/relay.go
+++ b/internal/gate/relay/relay.go
@@ -233,8 +233,10 @@
 		return false
 	}
 	if end.notRun {
+		// A batch call is tried anew by its job, also at this target: it keeps to few
+		// targets and would wait for one that it may not use.
 		run.refused++
-		return run.refused < maxRefused
+		return run.refused < maxRefused && !run.plan.Batch
 	}
 	if !run.plan.Repeatable || (run.result.Begun && !run.plan.Resumable) {
 		return false
--- a/internal/gate/relay/relay_test.go
+++ b/internal/gate/relay/relay_test.go
@@ -329,6 +329,15 @@
 })
 
 var _ = ginkgo.Describe("a batch call", func() {
+	ginkgo.It("that a target turns away ends, to be tried anew, rather than wait for another target", func() {
+		play := newPlay(newTarget(shed))
+		plan := stream()
+		plan.Batch, plan.Attempts = true, 1
+		result, _ := play.serve(plan)
+		expectRefusal(result, agatestage.RanNo)
+		gomega.Expect(result.Refusal.Code).To(gomega.Equal(agatestage.CodeBusy))
+		gomega.Expect(result.Refusal.Message).To(gomega.ContainSubstring("turned the call away"))
+	})
 	ginkgo.It("gives way to an online call and says how far it came", func() {
 		first := true
 		var mutex sync.Mutex
--- a/internal/gate/sched/place.go
+++ b/internal/gate/sched/place.go
@@ -70,14 +70,14 @@
 // findBatch returns a home of this gateway that online calls leave a slot at, or
 // nil. Several gateways that see the same free slots elsewhere would all fill them
 // and all give way again; a gateway with too many items gives jobs away instead.
-// Only one that has no home left uses what others spare.
+// Only one that has no home for the call uses what others spare.
 func (entry *service) findBatch(ask Ask, now time.Time) (*target, Way) {
 	if len(entry.online) > 0 {
 		return nil, ""
 	}
 	homes, free := 0, 0
 	for _, target := range entry.targets {
-		if target.home && target.usable() {
+		if target.home && target.takes(ask) {
 			homes++
 			free += max(0, target.free(now))
 		}
--- a/internal/gate/sched/sched_test.go
+++ b/internal/gate/sched/sched_test.go
@@ -269,6 +269,14 @@
 			gomega.Expect(ticket.Yield()).To(gomega.BeClosed())
 		}
 	})
+	ginkgo.It("goes elsewhere if it can't use any home of its gateway", func() {
+		play := newPlay()
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		ticket, err := play.Acquire(ctx, sched.Ask{Service: service, Batch: true, Exclude: []string{"local-0", "local-1"}})
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		gomega.Expect(ticket.Target.ID).To(gomega.Equal("region-0"))
+	})
 	ginkgo.It("gives way at home to another gateway's call, and only as many as are too many", func() {
 		play := newPlay()
 		tickets, counts := play.fill()
