gate/batch: show callers that read anew all results that the head counts

Callers that page on got the rest; those that read from 0 did not. Ruled out: the owner's records (all gateways' heads count six), the feed (gateway-0 had no 'store lost'). Change: what is known here is enough only if the head counts no more; what is known is still shown if neither the owner nor the store can be asked. Test: two results read at another gateway, the second later; failed before (timed out).

--- a/internal/gate/batch/batch_test.go
+++ b/internal/gate/batch/batch_test.go
@@ -82,6 +82,24 @@
 		mine := expectDone(owner, spec)
 		gomega.Expect(expectDone(reader, spec)).To(gomega.Equal(mine))
 	})
+	ginkgo.It("is read whole from its beginning where its first results have been read before", func() {
+		place := newPlace()
+		place.fleet.set(first, second)
+		owner, _ := place.start(first)
+		reader, _ := place.start(second)
+		place.engine.serve = func(item string, run int) relay.Result {
+			if item == "job-0" && run == 1 {
+				return relay.Result{Yielded: true, Refusal: agatestage.Refuse(agatestage.CodeYielded, "yielded")}
+			}
+			return relay.Result{Status: http.StatusOK}
+		}
+		place.engine.pause = make(chan struct{})
+		spec := place.spec("job", 2)
+		gomega.Expect(owner.Submit(context.Background(), spec)).To(gomega.Succeed())
+		gomega.Eventually(func() int { return len(results(reader, spec.ID).Results) }, patience).Should(gomega.Equal(1))
+		close(place.engine.pause)
+		expectDone(reader, spec)
+	})
 	ginkgo.It("is run by a gateway with less to do", func() {
 		place := newPlace()
 		busy, idle := first, second
--- a/internal/gate/batch/results.go
+++ b/internal/gate/batch/results.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"k8s.io/klog/v2"
+
 	"github.com/agatestage/agatestage"
 )
 
@@ -137,7 +139,8 @@
 	results, chunks := cached.results, cached.chunks
 	fresh := manager.clock.Since(manager.heardAt) < confirmedFor
 	manager.mutex.Unlock()
-	if len(results) > after || (!head.Open() && len(results) >= head.Results) {
+	// A caller that reads from the beginning again gets all that the head counts.
+	if len(results) >= head.Results && (len(results) > after || !head.Open()) {
 		return head, results, nil
 	}
 	if head.Owner != "" && head.Owner != manager.name {
@@ -145,17 +148,15 @@
 			return manager.learn(head, results, answer)
 		}
 	}
-	if !fresh || head.Chunks < chunks {
-		seen, err := manager.vault.head(ctx, head.ID)
-		if err != nil {
-			return head, nil, unsure("the job's results can't be looked up now", err)
-		}
-		head = seen
+	seen, more, err := manager.lookUp(ctx, head, chunks, fresh)
+	if err != nil && len(results) > after {
+		klog.InfoS("results shown as far as they are known", "job", head.ID, "results", len(results), "of", head.Results, "error", err.Error())
+		return head, results, nil
 	}
-	more, err := manager.vault.results(ctx, head.Head, chunks)
 	if err != nil {
-		return head, nil, unsure("the job's results can't be read now", err)
+		return head, nil, unsure("the job's results can't be looked up now", err)
 	}
+	head = seen
 	manager.mutex.Lock()
 	defer manager.mutex.Unlock()
 	manager.keep(head)
@@ -165,6 +166,19 @@
 	return head, cached.results, nil
 }
 
+// lookUp reads the chunks of results from one on, and the head before them unless it
+// was confirmed lately.
+func (manager *Manager) lookUp(ctx context.Context, head entry, from int, fresh bool) (entry, []Result, error) {
+	if !fresh || head.Chunks < from {
+		var err error
+		if head, err = manager.vault.head(ctx, head.ID); err != nil {
+			return head, nil, err
+		}
+	}
+	more, err := manager.vault.results(ctx, head.Head, from)
+	return head, more, err
+}
+
 // learn takes what a job's owner told.
 func (manager *Manager) learn(head entry, known []Result, answer Answer) (entry, []Result, error) {
 	results := append(known[:len(known):len(known)], answer.Results...)
