conf/plans: tell what moved when a plan loses a race while it reads

The loser had read the head before the other's change and the document after it, and explained itself by the old head. Two confirmations of the same plan at two entries could lose to one another in the same way. Ruled out: load as such: the new test brings the order about without a clock. Change: a plan that finds another revision reads the head anew, and returns its own revision if that is what it finds. Tests: both races; the first failed before with the message above, the second with StalePlan.

--- a/internal/conf/plans/confirm.go
+++ b/internal/conf/plans/confirm.go
@@ -62,7 +62,7 @@
 		return 0, unavailable(err)
 	}
 	if document.Revision != plan.Base {
-		return 0, planner.stale(ctx, plan, head)
+		return planner.lostRace(ctx, plan)
 	}
 	var next *model.Document
 	if next, err = document.Apply(plan.changes()); err != nil {
@@ -78,7 +78,7 @@
 	moved.Recent = append(append([]ChangeRef(nil), head.Recent...), ChangeRef{next.Revision, id, plan.Digest})
 	if err = planner.move(ctx, moved, version, id); err != nil {
 		if errors.Is(err, agatestage.ErrConflict) {
-			return 0, planner.lostRace(ctx, plan)
+			return planner.lostRace(ctx, plan)
 		}
 		return 0, err
 	}
@@ -141,13 +141,17 @@
 	}
 }
 
-// lostRace explains why another operator's plan came first.
-func (planner *Planner) lostRace(ctx context.Context, plan Plan) error {
+// lostRace tells what came first: the same plan, confirmed elsewhere, whose revision
+// it returns, or another one.
+func (planner *Planner) lostRace(ctx context.Context, plan Plan) (uint64, error) {
 	head, _, err := readHead(ctx, planner.store)
 	if err != nil {
-		return unavailable(err)
+		return 0, unavailable(err)
+	}
+	if revision, done := head.find("", plan.Digest); done {
+		return revision, nil
 	}
-	return planner.stale(ctx, plan, head)
+	return 0, planner.stale(ctx, plan, head)
 }
 
 // stale names what has moved since the plan's base.
