--- a/internal/gate/sched/sched_test.go
+++ b/internal/gate/sched/sched_test.go
@@ -318,7 +318,7 @@
 		play := newPlay()
 		play.Apply([]agatestage.Endpoint{endpoint("local-0", "near", "a")})
 		names := make(map[*sched.Ticket]string)
-		for _, left := range []time.Duration{5 * time.Second, time.Minute, time.Second} {
+		for _, left := range []time.Duration{time.Second, time.Minute, 5 * time.Second} {
 			ticket, err := play.Acquire(context.Background(), sched.Ask{Service: service, Batch: true, Due: play.clock.Now().Add(left), Need: 4 * time.Second})
 			gomega.Expect(err).NotTo(gomega.HaveOccurred())
 			names[ticket] = left.String()
