gate/gossip: gateways of large fleets stay heard, and lists of targets are sent once

Cause: the periods between messages grew without a bound. With 82 gateways a gateway of the other region was told every 5 s, twice the time after which it counts as lost; and 24 gateways told the other region every 1.5 s, just when their counts of calls lapse. Ruled out: telling all at the shortest period (messages grow with the square of the fleet). Change: periods grow with the number of gateways up to 800 ms, those of one zone too; counts of another gateway's calls hold for 2.5 s, as long as it counts as alive. Lists are asked for every 300 ms at most, and sent only if a digest differs. The file is split by message, pace and mesh. Tests: 'tells each of the others twice before it counts as lost' failed before (5.1 s of at most 1.25 s); 'takes the list of targets from another one, and only what has changed' needs the digest, so it can't be run on the old code, which sent the list each time.

--- a/internal/gate/feeds/targets.go
+++ b/internal/gate/feeds/targets.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"strconv"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"k8s.io/klog/v2"
 
 	"github.com/agatestage/agatestage"
@@ -85,6 +87,17 @@
 	return records
 }
 
+// Digest returns a number that two gateways with the same records have in common.
+func (targets *Targets) Digest() (sum uint64) {
+	targets.mutex.Lock()
+	defer targets.mutex.Unlock()
+	for key, record := range targets.records {
+		// A sum doesn't depend on the order.
+		sum += xxhash.Sum64String(key + "@" + strconv.FormatUint(record.Version, 10))
+	}
+	return sum
+}
+
 // Offer takes records that have changed, or all of them.
 func (targets *Targets) Offer(records []agatestage.Record, whole bool) {
 	targets.mutex.Lock()
--- a/internal/gate/gossip/gossip.go
+++ b/internal/gate/gossip/gossip.go
@@ -9,7 +9,6 @@
 
 import (
 	"context"
-	"net/netip"
 	"sync"
 	"time"
 
@@ -24,30 +23,7 @@
 	"github.com/agatestage/agatestage/internal/wire/link"
 )
 
-// The kinds of exchanges between gateways.
 const (
-	KindState  = "GatewayState"
-	KindConfig = "GatewayConfig"
-	KindList   = "GatewayTargets"
-	KindStrike = "GatewayStrike"
-	KindGuest  = "GatewayGuest"
-)
-
-const (
-	// tick is the time between two messages to a gateway of the same zone, which
-	// shares targets.
-	tick = 100 * time.Millisecond
-	// regionPeriod and remotePeriod are the times between two messages to gateways
-	// of other zones, in small fleets. They grow with the number of gateways, so
-	// that a gateway's messages don't: regionCount and remoteCount of them are
-	// told at that pace.
-	regionPeriod = 100 * time.Millisecond
-	remotePeriod = 500 * time.Millisecond
-	regionCount  = 4
-	remoteCount  = 4
-	// allPeriod is the time between two messages with the counts of all active
-	// organisations.
-	allPeriod = 500 * time.Millisecond
 	// askTimeout bounds one exchange.
 	askTimeout = 500 * time.Millisecond
 	// aliveFor is how long a gateway counts as alive after it was heard.
@@ -60,47 +36,14 @@
 	// admitFor is how long a gateway that isn't heard keeps its part of the
 	// organisations' rates. It may be cut off from this one only.
 	admitFor = 6 * time.Second
+	// listPeriod is the least time between two questions for the list of targets, which
+	// is taken off the seconds that a leaving target still serves.
+	listPeriod = 300 * time.Millisecond
 	// silentFor is how long the store must have failed before its records are
 	// taken from another gateway.
 	silentFor = 400 * time.Millisecond
 )
 
-// State is what a gateway tells.
-type State struct {
-	Name string
-	// Instance is the gateway's process.
-	Instance string
-	Region   string
-	Zone     string
-	// Address is where the gateway listens for others. One that the store hasn't
-	// told of is known by it.
-	Address netip.AddrPort
-	Version uint64
-	// Hears says that the store answers this gateway.
-	Hears bool
-	// Leaving gateways take no new work.
-	Leaving bool
-	Held    map[string]sched.Held
-	// Counts are the requests that the gateway has admitted, by organisation.
-	Counts map[string]tally.Count
-	// Backlog counts the batch calls that run or wait there, Slots the slots of its
-	// own targets.
-	Backlog int
-	Slots   int
-}
-
-// Guest is what a gateway has at a target that is another's home.
-type Guest struct {
-	Target string
-	Held   sched.Held
-}
-
-// Ack is the answer to a State.
-type Ack struct {
-	Version uint64
-	Hears   bool
-}
-
 // Source is what a gateway tells of itself and takes from others.
 type Source interface {
 	// Held returns the calls that it has at each target, Hear takes another's.
@@ -108,7 +51,7 @@
 	Hear(gateway string, held map[string]sched.Held)
 	// HearGuest takes what another gateway has at a target that is home here.
 	HearGuest(gateway, target string, held sched.Held)
-	// Backlog returns its batch calls and the slots of its own targets.
+	// Backlog returns its batch calls and the slots that online calls leave them.
 	Backlog() (calls, slots int)
 	// Counts returns what it has admitted, of all organisations or only of those
 	// that are near their limits; HearCounts takes another's.
@@ -118,13 +61,16 @@
 	Version() uint64
 	// Silent returns for how long the store has failed here.
 	Silent() time.Duration
+	// StoreReturned is called when another gateway hears the store again.
+	StoreReturned()
 	// Config returns the configuration as operators wrote it; OfferConfig takes
 	// another gateway's.
 	Config() []byte
 	OfferConfig(data []byte)
-	// Targets returns the records of the list of targets; OfferTargets takes
-	// another gateway's.
+	// Targets returns the records of the list of targets, TargetsDigest a number that
+	// differs between different lists; OfferTargets takes another gateway's.
 	Targets() []agatestage.Record
+	TargetsDigest() uint64
 	OfferTargets(records []agatestage.Record)
 	// Strike takes a strike that another gateway has seen.
 	Strike(strike blame.Strike)
@@ -156,6 +102,8 @@
 	peers    map[string]*peer
 	leaving  bool
 	asking   map[string]bool
+	// listed is when another gateway was last asked for the list of targets.
+	listed time.Time
 }
 
 // New returns the mesh of one process and registers its exchanges.
@@ -180,61 +128,6 @@
 	})
 }
 
-// addressee is a gateway to which a message is due.
-type addressee struct {
-	member member.Member
-	all    bool
-}
-
-// due returns the gateways to which a message is due now.
-func (mesh *Mesh) due(now time.Time) (addressees []addressee) {
-	self := mesh.roster.Self()
-	mesh.mutex.Lock()
-	defer mesh.mutex.Unlock()
-	region, remote := mesh.periods()
-	for _, known := range mesh.peers {
-		period := remote
-		switch {
-		case known.member.Zone == self.Zone:
-			period = tick
-		case known.member.Region == self.Region:
-			period = region
-		}
-		if now.Sub(known.told) < period-tick/2 {
-			continue
-		}
-		known.told = now
-		all := now.Sub(known.toldAll) >= allPeriod-tick/2
-		if all {
-			known.toldAll = now
-		}
-		addressees = append(addressees, addressee{member: known.member, all: all})
-	}
-	return addressees
-}
-
-// periods returns the times between two messages to gateways of other zones in
-// this region and in others; the mutex is held.
-func (mesh *Mesh) periods() (region, remote time.Duration) {
-	near, far := 0, 0
-	for _, known := range mesh.peers {
-		if known.member.Region == mesh.roster.Self().Region {
-			near++
-		} else {
-			far++
-		}
-	}
-	return regionPeriod * time.Duration(max(1, near/regionCount)), remotePeriod * time.Duration(max(1, far/remoteCount))
-}
-
-// Delay returns how long what a gateway does may go untold.
-func (mesh *Mesh) Delay() time.Duration {
-	mesh.mutex.Lock()
-	defer mesh.mutex.Unlock()
-	region, remote := mesh.periods()
-	return max(region, remote) + tick
-}
-
 // String names the service in logs.
 func (mesh *Mesh) String() string {
 	return "gateway mesh"
@@ -313,8 +206,12 @@
 		known = &peer{member: member.Member{Name: state.Name, Region: state.Region, Zone: state.Zone, Address: state.Address}}
 		mesh.peers[state.Name] = known
 	}
+	regained := state.Hears && !known.state.Hears && known.state.Name != ""
 	known.state, known.heard = state, mesh.clock.Now()
 	mesh.mutex.Unlock()
+	if regained {
+		mesh.source.StoreReturned()
+	}
 	mesh.source.Hear(state.Name, state.Held)
 	mesh.source.HearCounts(state.Name, state.Instance, state.Counts)
 }
@@ -329,13 +226,27 @@
 			mesh.source.OfferConfig(data)
 		}
 	}
-	if !ack.Hears || mesh.source.Silent() < silentFor {
+	if !ack.Hears || mesh.source.Silent() < silentFor || !mesh.mayList() {
 		return
 	}
-	var records []agatestage.Record
-	if err := mesh.node.Ask(ctx, from.Address, KindList, "", &records); err != nil {
+	var list List
+	if err := mesh.node.Ask(ctx, from.Address, KindList, mesh.source.TargetsDigest(), &list); err != nil {
 		klog.V(1).InfoS("list of targets not received", "gateway", from.Name, "error", err.Error())
 		return
 	}
-	mesh.source.OfferTargets(records)
+	if list.Changed {
+		mesh.source.OfferTargets(list.Records)
+	}
+}
+
+// mayList reports whether another gateway may be asked for the list of targets now.
+func (mesh *Mesh) mayList() bool {
+	mesh.mutex.Lock()
+	defer mesh.mutex.Unlock()
+	now := mesh.clock.Now()
+	if now.Sub(mesh.listed) < listPeriod {
+		return false
+	}
+	mesh.listed = now
+	return true
 }
--- a/internal/gate/gossip/mesh_test.go
+++ b/internal/gate/gossip/mesh_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"net/netip"
 	"sync"
 	"time"
 
@@ -22,10 +24,19 @@
 // patience bounds the wait for what must come to pass.
 const patience = time.Minute
 
+// unreachable is the address of gateways that only the store knows.
+var unreachable = netip.MustParseAddrPort("127.0.0.1:9")
+
 // source is a gateway that holds nothing. It notes who was heard.
 type source struct {
 	mutex sync.Mutex
 	heard map[string]bool
+	// silent says that the store is lost; targets is the list there, which was sent
+	// and offered so often.
+	silent        time.Duration
+	targets       []agatestage.Record
+	sent, offered int
+	asked         int
 }
 
 func (*source) Held() map[string]sched.Held                       { return nil }
@@ -33,15 +44,47 @@
 func (*source) Backlog() (calls, slots int)                       { return 0, 0 }
 func (*source) Counts(bool) map[string]tally.Count                { return nil }
 func (*source) Version() uint64                                   { return 0 }
-func (*source) Silent() time.Duration                             { return 0 }
+func (*source) StoreReturned()                                    {}
 func (*source) Config() []byte                                    { return nil }
 func (*source) OfferConfig([]byte)                                {}
-func (*source) Targets() []agatestage.Record                      { return nil }
-func (*source) OfferTargets([]agatestage.Record)                  {}
 func (*source) Strike(blame.Strike)                               {}
 func (*source) Changed()                                          {}
 func (*source) HearCounts(string, string, map[string]tally.Count) {}
 
+func (source *source) Silent() time.Duration {
+	source.mutex.Lock()
+	defer source.mutex.Unlock()
+	return source.silent
+}
+
+func (source *source) Targets() []agatestage.Record {
+	source.mutex.Lock()
+	defer source.mutex.Unlock()
+	source.sent++
+	return source.targets
+}
+
+func (source *source) TargetsDigest() uint64 {
+	source.mutex.Lock()
+	defer source.mutex.Unlock()
+	source.asked++
+	return uint64(len(source.targets))
+}
+
+func (source *source) OfferTargets(records []agatestage.Record) {
+	source.mutex.Lock()
+	defer source.mutex.Unlock()
+	source.targets = records
+	source.offered++
+}
+
+// counts returns how often the list of targets was compared, sent and offered.
+func (source *source) counts() (asked, sent, offered int) {
+	source.mutex.Lock()
+	defer source.mutex.Unlock()
+	return source.asked, source.sent, source.offered
+}
+
 func (source *source) Hear(gateway string, _ map[string]sched.Held) {
 	source.mutex.Lock()
 	defer source.mutex.Unlock()
@@ -87,3 +130,49 @@
 		gomega.Expect(first.Admitting()).To(gomega.ConsistOf("second"))
 	})
 })
+
+var _ = ginkgo.Describe("a gateway that has lost the store", func() {
+	ginkgo.It("takes the list of targets from another one, and only what has changed", func() {
+		ctx, cancel := context.WithCancel(context.Background())
+		ginkgo.DeferCleanup(cancel)
+		authority, err := certs.NewAuthority(agatestage.SystemClock())
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		stand := store.New(agatestage.SystemClock())
+		_, knows := start(ctx, authority, stand, "first")
+		knows.mutex.Lock()
+		knows.targets = []agatestage.Record{{Key: "targets/a", Version: 1}}
+		knows.mutex.Unlock()
+		_, lost := start(ctx, authority, stand, "second")
+		lost.mutex.Lock()
+		lost.silent = time.Minute
+		lost.mutex.Unlock()
+		asked := func() int {
+			asked, _, _ := knows.counts()
+			return asked
+		}
+		gomega.Eventually(asked, patience).Should(gomega.BeNumerically(">=", 4))
+		_, sent, _ := knows.counts()
+		_, _, offered := lost.counts()
+		gomega.Expect([]int{sent, offered}).To(gomega.Equal([]int{1, 1}))
+	})
+})
+
+var _ = ginkgo.Describe("a gateway of a large fleet", func() {
+	ginkgo.It("tells each of the others twice before it counts as lost", func() {
+		// These are the users' 300 machines: 82 gateways in two regions.
+		const fleet, lostAfter = 82, 2500 * time.Millisecond
+		ctx, cancel := context.WithCancel(context.Background())
+		ginkgo.DeferCleanup(cancel)
+		authority, err := certs.NewAuthority(agatestage.SystemClock())
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		stand := store.New(agatestage.SystemClock())
+		for i := range fleet - 1 {
+			region := []string{"near", "far"}[i%2]
+			other := member.Member{Name: fmt.Sprint(region, i), Region: region, Zone: fmt.Sprint(region, i%3), Address: unreachable}
+			gomega.Expect(member.New(stand, agatestage.SystemClock(), other).Renew(ctx)).To(gomega.Succeed())
+		}
+		mesh, _ := start(ctx, authority, stand, "first")
+		gomega.Eventually(func() bool { _, ok := mesh.Address("far1"); return ok }, patience).Should(gomega.BeTrue())
+		gomega.Expect(mesh.Delay()).To(gomega.BeNumerically("<=", lostAfter/2))
+	})
+})
--- a/internal/gate/gossip/serve.go
+++ b/internal/gate/gossip/serve.go
@@ -31,11 +31,14 @@
 }
 
 func (mesh *Mesh) serveTargets(_ context.Context, _ certs.Identity, stream *link.Stream) error {
-	var nothing string
-	if err := stream.Receive(&nothing); err != nil {
+	var digest uint64
+	if err := stream.Receive(&digest); err != nil {
 		return err
 	}
-	return stream.Send(mesh.source.Targets())
+	if digest == mesh.source.TargetsDigest() {
+		return stream.Send(List{})
+	}
+	return stream.Send(List{Changed: true, Records: mesh.source.Targets()})
 }
 
 func (mesh *Mesh) serveStrike(_ context.Context, _ certs.Identity, stream *link.Stream) error {
--- a/internal/gate/sched/fleet_test.go
+++ b/internal/gate/sched/fleet_test.go
@@ -29,7 +29,7 @@
 	lullFactor   = 0.391
 	zonePeriod   = 100 * time.Millisecond
 	nearPeriod   = 200 * time.Millisecond
-	farPeriod    = 1500 * time.Millisecond
+	farPeriod    = 800 * time.Millisecond
 )
 
 // playedCall is a request or an item.
@@ -151,6 +151,15 @@
 		}
 	}
 	if fleet.random.Float64() < fleet.jobsPerS*fleetStep.Seconds() {
+		fleet.submit()
+	}
+}
+
+// submit sends a job to a gateway, which gives it to one of its region that has
+// clearly less to do.
+func (fleet *playedFleet) submit() {
+	now := fleet.clock.Now()
+	{
 		taker := fleet.gateways[fleet.random.IntN(len(fleet.gateways))]
 		least := taker
 		load := func(gateway *playedGateway) float64 {
--- a/internal/gate/sched/target.go
+++ b/internal/gate/sched/target.go
@@ -19,8 +19,9 @@
 	// stalledCalls is how many calls must run there for their silence to tell
 	// something about the target.
 	stalledCalls = 2
-	// heardFor is how long what another gateway has told about its calls holds.
-	heardFor = 1500 * time.Millisecond
+	// heardFor is how long what another gateway has told about its calls holds: as
+	// long as it counts as alive without being heard. Two messages may be lost.
+	heardFor = 2500 * time.Millisecond
 	// failureWeight is the weight of one call in a target's failure rate: the
 	// rate remembers about the last ten calls.
 	failureWeight = 0.1
