gate/feeds: gateways that have lost the store tell one another of its return

The logs show that one gateway regained the store at 33.56 and wrote its results; the four others had lost it at the same moment, tried it in step with pauses of 0.8 s, and were killed before their next try. Ruled out: shorter pauses for all (each refused call is paid). Change: pauses differ by lot between gateways by up to a half, and a gateway that hears from another that the store answers it again tries at once.

--- a/internal/gate/feeds/contact.go
+++ b/internal/gate/feeds/contact.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -27,6 +28,10 @@
 	lastRetry  = 800 * time.Millisecond
 	// retryLook is how often a feed that waits looks whether it may go on.
 	retryLook = 50 * time.Millisecond
+	// retrySpread is the part by which pauses differ between gateways that have lost
+	// the store at the same moment, so that the first of them soon sees its return
+	// and tells the others.
+	retrySpread = 0.5
 )
 
 // Contact is when this process last heard the store, over all its feeds. While
@@ -43,11 +48,25 @@
 	// made.
 	tries int
 	next  time.Time
+	// lot draws a number from 0 to 1 for the pauses.
+	lot func() float64
+}
+
+// ContactOption changes how a contact is built.
+type ContactOption func(*Contact)
+
+// WithLot sets what draws the numbers from 0 to 1 by which pauses differ.
+func WithLot(lot func() float64) ContactOption {
+	return func(contact *Contact) { contact.lot = lot }
 }
 
 // NewContact returns a contact that has heard nothing yet.
-func NewContact(clock agatestage.Clock) *Contact {
-	return &Contact{clock: clock}
+func NewContact(clock agatestage.Clock, options ...ContactOption) *Contact {
+	contact := &Contact{clock: clock, lot: rand.Float64}
+	for _, option := range options {
+		option(contact)
+	}
+	return contact
 }
 
 // Heard notes an answer of the store.
@@ -102,10 +121,21 @@
 		return false
 	}
 	contact.tries++
-	contact.next = now.Add(min(lastRetry, firstRetry<<min(contact.tries, 8)))
+	pause := min(lastRetry, firstRetry<<min(contact.tries, 8))
+	contact.next = now.Add(pause - time.Duration(float64(pause)*retrySpread*contact.lot()))
 	return true
 }
 
+// Hint says that the store answers another gateway again, so that it is worth trying
+// at once.
+func (contact *Contact) Hint() {
+	contact.mutex.Lock()
+	defer contact.mutex.Unlock()
+	if !contact.lost.IsZero() {
+		contact.next = contact.clock.Now()
+	}
+}
+
 // Silent returns for how long the store has failed or an answer is overdue, zero
 // while it answers.
 func (contact *Contact) Silent() time.Duration {
--- a/internal/gate/feeds/feeds_test.go
+++ b/internal/gate/feeds/feeds_test.go
@@ -142,13 +142,13 @@
 })
 
 var _ = ginkgo.Describe("a store that is lost", func() {
-	ginkgo.It("is tried by one call in a while, and by all once it is regained", func() {
+	// tried plays five seconds of a lost store and returns when it is called.
+	tried := func(lot float64) (tries []time.Duration, contact *feeds.Contact) {
 		clock := clocktest.NewFakeClock(time.Unix(1000, 0))
-		contact := feeds.NewContact(clock)
+		contact = feeds.NewContact(clock, feeds.WithLot(func() float64 { return lot }))
 		contact.Heard()
 		gomega.Expect(contact.MayTry()).To(gomega.BeTrue())
 		contact.Failed(errors.New("out"))
-		var tries []time.Duration
 		for length := time.Duration(0); length < 5*time.Second; length += 50 * time.Millisecond {
 			for range 4 {
 				if contact.MayTry() {
@@ -158,12 +158,27 @@
 			}
 			clock.Step(50 * time.Millisecond)
 		}
+		return tries, contact
+	}
+	ginkgo.It("is tried by one call in a while, and by all once it is regained", func() {
+		tries, contact := tried(0)
 		gomega.Expect(tries[0]).To(gomega.Equal(200 * time.Millisecond))
 		gomega.Expect(len(tries)).To(gomega.BeNumerically("<=", 8))
 		gomega.Expect(tries[len(tries)-1]).To(gomega.BeNumerically(">", 4*time.Second))
 		contact.Heard()
 		gomega.Expect([]bool{contact.MayTry(), contact.MayTry()}).To(gomega.Equal([]bool{true, true}))
 	})
+	ginkgo.It("is tried at other moments by other gateways", func() {
+		first, _ := tried(0.1)
+		second, _ := tried(0.9)
+		gomega.Expect(second[1:4]).NotTo(gomega.Equal(first[1:4]))
+	})
+	ginkgo.It("is tried at once when it answers another gateway again", func() {
+		_, contact := tried(0)
+		gomega.Expect(contact.MayTry()).To(gomega.BeFalse())
+		contact.Hint()
+		gomega.Expect([]bool{contact.MayTry(), contact.MayTry()}).To(gomega.Equal([]bool{true, false}))
+	})
 })
 
 var _ = ginkgo.Describe("contact with the store of a machine that was suspended", func() {
--- a/internal/gate/start/source.go
+++ b/internal/gate/start/source.go
@@ -86,6 +86,9 @@
 // Silent implements gossip.Source and batch.Fleet.
 func (view *view) Silent() time.Duration { return view.contact.Silent() }
 
+// StoreReturned implements gossip.Source.
+func (view *view) StoreReturned() { view.contact.Hint() }
+
 // Config implements gossip.Source.
 func (view *view) Config() []byte { return view.config.Raw() }
 
@@ -95,6 +98,9 @@
 // Targets implements gossip.Source.
 func (view *view) Targets() []agatestage.Record { return view.targets.Records() }
 
+// TargetsDigest implements gossip.Source.
+func (view *view) TargetsDigest() uint64 { return view.targets.Digest() }
+
 // OfferTargets implements gossip.Source.
 func (view *view) OfferTargets(records []agatestage.Record) { view.targets.Offer(records, true) }
 
