gate/sched: gateways tell the slots that online calls leave for batch calls

Nothing ran for 8 s, and no job moved, since 1 item a slot isn't crowded; 33 items were late. Slots of plain services, where no item can run, counted too. Ruled out: a lower threshold for moves (gateways with idle slots would give jobs away as well). Change: Backlog counts the slots of homes of services with batch routes, less the smoothed number that online calls have.

--- a/internal/gate/rules/rules.go
+++ b/internal/gate/rules/rules.go
@@ -203,6 +203,20 @@
 	return nil, false
 }
 
+// BatchServices returns the services that run the items of batch jobs.
+func (snapshot *Snapshot) BatchServices() map[string]bool {
+	services := make(map[string]bool)
+	for _, route := range snapshot.content.Routes {
+		if route.Kind != KindBatch {
+			continue
+		}
+		for _, share := range route.Shares {
+			services[share.Service] = true
+		}
+	}
+	return services
+}
+
 // HasHost reports whether any route has the host.
 func (snapshot *Snapshot) HasHost(host string) bool {
 	return len(snapshot.hosts[host]) > 0
--- a/internal/gate/sched/queue.go
+++ b/internal/gate/sched/queue.go
@@ -95,20 +95,3 @@
 	entry := scheduler.service(name)
 	return len(entry.online) + len(entry.batch)
 }
-
-// Backlog returns the batch calls that run or wait here, and the slots of this
-// gateway's own targets.
-func (scheduler *Scheduler) Backlog() (calls, slots int) {
-	scheduler.mutex.Lock()
-	defer scheduler.mutex.Unlock()
-	for _, entry := range scheduler.services {
-		calls += len(entry.batch)
-	}
-	for _, target := range scheduler.targets {
-		calls += len(target.batch)
-		if target.home && target.usable() {
-			slots += target.Slots
-		}
-	}
-	return calls, slots
-}
--- a/internal/gate/sched/sched.go
+++ b/internal/gate/sched/sched.go
@@ -113,9 +113,12 @@
 	services map[string]*service
 	targets  map[string]*target
 	homes    map[string]bool
-	onDown   func(agatestage.Endpoint)
-	onGone   func(agatestage.Endpoint)
-	onGuest  func(target string, held Held)
+	// batches names the services that batch calls need; nil for all.
+	batches map[string]bool
+	usage   usage
+	onDown  func(agatestage.Endpoint)
+	onGone  func(agatestage.Endpoint)
+	onGuest func(target string, held Held)
 }
 
 // Option changes how a scheduler is built.
--- a/internal/gate/start/start.go
+++ b/internal/gate/start/start.go
@@ -170,7 +170,10 @@
 // start runs the parts, from the bottom up.
 func (gateway *Gateway) start(parts *parts) {
 	gateway.parts = parts
-	parts.Holder.OnChange(func(snapshot *rules.Snapshot) { gateway.idle.setLimit(snapshot.Bounds().IdleTime) })
+	parts.Holder.OnChange(func(snapshot *rules.Snapshot) {
+		gateway.idle.setLimit(snapshot.Bounds().IdleTime)
+		parts.View.SetBatchServices(snapshot.BatchServices())
+	})
 	gateway.tree.Start("links", parts.Bundle, parts.Node)
 	gateway.tree.Start("state", parts.Roster.Renewer(), parts.Roster, parts.View.config, parts.View.targets)
 	gateway.tree.Start("gateways", parts.Mesh)
