gate/batch: save the progress of long items, and accept jobs until the stop

Change: a job is also written when its unfinished items have 400 events more than the store has, every 2 s at most. Change: a gateway that drains accepts jobs for another one, which begins at once; if it knows of none, for the next that sees the job. One that was written as the stop began is handed over instead of waiting for its owner to be missed. handOver has the write that release had. Tests, all seen to fail before: 'goes on from the events of long items though none has a result', 'is accepted by a gateway that is about to stop, for another one', 'is accepted by the last gateway that stops, for the next one that starts'. Those of jobs whose gateway goes are in a file of their own.

--- a/internal/gate/batch/access.go
+++ b/internal/gate/batch/access.go
@@ -139,8 +139,12 @@
 	}
 }
 
-// tellOwner tells the owner of a job what has been written to its head.
+// tellOwner tells the owner of a job, if it has one, what has been written to its
+// head.
 func (manager *Manager) tellOwner(written entry, handover Handover) {
+	if written.Owner == "" {
+		return
+	}
 	var err error
 	if handover.Record, err = written.record(); err != nil {
 		klog.ErrorS(err, "owner of a changed job not told", "job", written.ID)
--- a/internal/gate/batch/batch_test.go
+++ b/internal/gate/batch/batch_test.go
@@ -203,65 +203,6 @@
 		place.fleet.set(second)
 		expectDone(heir, spec)
 	})
-	ginkgo.It("is handed over by a planned stop", func() {
-		place := newPlace()
-		place.fleet.set(first, second)
-		owner, _ := place.start(first)
-		heir, _ := place.start(second)
-		place.engine.hold = make(chan struct{})
-		spec := place.spec("job", 4)
-		gomega.Expect(owner.Submit(context.Background(), spec)).To(gomega.Succeed())
-		place.fleet.set(second)
-		owner.Drain(context.Background())
-		close(place.engine.hold)
-		expectDone(heir, spec)
-	})
-	ginkgo.It("is handed over with the events of its unfinished items", func() {
-		place := newPlace()
-		place.fleet.set(first, second)
-		owner, _ := place.start(first)
-		heir, _ := place.start(second)
-		place.engine.serve = func(_ string, run int) relay.Result {
-			if run == 1 {
-				return relay.Result{Status: http.StatusOK, Yielded: true, Refusal: agatestage.Refuse(agatestage.CodeYielded, "yielded")}
-			}
-			return relay.Result{Status: http.StatusOK}
-		}
-		place.engine.pause = make(chan struct{})
-		spec := place.spec("job", 1)
-		gomega.Expect(owner.Submit(context.Background(), spec)).To(gomega.Succeed())
-		gomega.Eventually(func() int { return place.engine.count("job-0") }, patience).Should(gomega.Equal(2))
-		place.fleet.set(second)
-		owner.Drain(context.Background())
-		close(place.engine.pause)
-		result := expectDone(heir, spec)[0]
-		gomega.Expect(string(result.Output)).To(gomega.Equal("job-0-1\njob-0-2\njob-0-3\njob-0-4"))
-	})
-	ginkgo.It("goes on from the events that were written beside results when its gateway is lost", func() {
-		place := newPlace()
-		place.fleet.set(first, second)
-		owner, kill := place.start(first)
-		heir, _ := place.start(second)
-		place.engine.serve = func(item string, run int) relay.Result {
-			if item == "job-0" && run == 1 {
-				return relay.Result{Status: http.StatusOK, Yielded: true, Refusal: agatestage.Refuse(agatestage.CodeYielded, "yielded")}
-			}
-			return relay.Result{Status: http.StatusOK}
-		}
-		place.engine.pause = make(chan struct{})
-		spec := place.spec("job", 2)
-		gomega.Expect(owner.Submit(context.Background(), spec)).To(gomega.Succeed())
-		gomega.Eventually(func() int { return len(results(owner, spec.ID).Results) }, patience).Should(gomega.Equal(1))
-		gomega.Eventually(func() int { return place.engine.count("job-0") }, patience).Should(gomega.Equal(2))
-		kill()
-		place.fleet.set(second)
-		close(place.engine.pause)
-		outputs := make(map[string]string)
-		for _, result := range expectDone(heir, spec) {
-			outputs[result.ID] = string(result.Output)
-		}
-		gomega.Expect(outputs["job-0"]).To(gomega.Equal("job-0-1\njob-0-2\njob-0-3\njob-0-4"))
-	})
 	ginkgo.It("that ends stays as it is", func() {
 		place := newPlace()
 		place.fleet.set(first, second)
@@ -404,11 +345,7 @@
 			gomega.Expect(owner.Submit(context.Background(), spec)).To(gomega.Succeed())
 			gomega.Eventually(func() int { return place.engine.count("job-0") }, patience).Should(gomega.Equal(2))
 			if how == "is taken over" {
-				gomega.Eventually(func() string {
-					record, err := place.store.Get(context.Background(), "batch/head/job")
-					gomega.Expect(err).NotTo(gomega.HaveOccurred())
-					return string(record.Value)
-				}, patience).Should(gomega.ContainSubstring(`"Progress":true`))
+				gomega.Eventually(func() string { return place.head("job") }, patience).Should(gomega.ContainSubstring(`"Progress":true`))
 				kill()
 			} else {
 				owner.Drain(context.Background())
--- a/internal/gate/batch/job.go
+++ b/internal/gate/batch/job.go
@@ -18,6 +18,11 @@
 	// groupTime is how long results are gathered before they are written: a write
 	// costs the store as much as any, and results are due many seconds later.
 	groupTime = time.Second
+	// saveTime is the least time between two writes of a job for the sake of its
+	// running items alone, and saveEvents the events that are worth one: what two
+	// items of the users' sheets have.
+	saveTime   = 2 * time.Second
+	saveEvents = 400
 	// commitRetry is the pause after results could not be written.
 	commitRetry = 250 * time.Millisecond
 )
@@ -49,6 +54,8 @@
 	idle    chan struct{}
 	// began is when this gateway began with the job.
 	began time.Time
+	// saved counts the events of unfinished items that the store has.
+	saved int64
 }
 
 func newJob(manager *Manager, owned entry, items []Item, listed []Result) *job {
@@ -116,9 +123,11 @@
 	}
 }
 
-// commitAll writes results and counts of failures in groups until the job has
-// ended or is stopped.
+// commitAll writes results, counts of failures and the progress of items in groups
+// until the job has ended or is stopped.
 func (job *job) commitAll(ctx context.Context) {
+	save := job.manager.clock.NewTicker(saveTime)
+	defer save.Stop()
 	for {
 		if job.complete() {
 			return
@@ -126,10 +135,14 @@
 		select {
 		case <-ctx.Done():
 			return
+		case <-save.C():
+			if !job.worthSaving() {
+				continue
+			}
 		case <-job.wake:
-		}
-		if !job.allDone() {
-			ticks.Wait(ctx, job.manager.clock, groupTime)
+			if !job.allDone() {
+				ticks.Wait(ctx, job.manager.clock, groupTime)
+			}
 		}
 		for job.pending() && ctx.Err() == nil {
 			job.manager.contact.Await(ctx)
@@ -213,16 +226,21 @@
 		return err
 	}
 	job.manager.note(after)
-	job.list(after, ready)
-	klog.InfoS("results listed", "job", head.ID, "epoch", head.Epoch, "results", head.Results, "items", head.Items, "begun", len(progress), "version", after.version)
+	job.list(after, ready, eventsOf(progress))
+	message := "results listed"
+	if len(ready) == 0 {
+		message = "progress saved"
+	}
+	klog.InfoS(message, "job", head.ID, "epoch", head.Epoch, "results", head.Results, "items", head.Items, "begun", len(progress), "version", after.version)
 	return nil
 }
 
-// list shows results that have been written.
-func (job *job) list(after entry, results []Result) {
+// list shows results that have been written, with so many events of unfinished
+// items.
+func (job *job) list(after entry, results []Result, saved int64) {
 	job.mutex.Lock()
 	defer job.mutex.Unlock()
-	job.entry = after
+	job.entry, job.saved = after, saved
 	if len(results) == 0 {
 		return
 	}
@@ -300,30 +318,8 @@
 	if !before.Open() {
 		return
 	}
-	head := before.Head
-	if head.Owner, head.Instance = to.Name, to.Instance; to.Name != "" {
-		head.Epoch++
-	}
-	data, err := encodeProgress(progress)
-	if err != nil {
-		klog.ErrorS(err, "progress of items not handed over", "job", head.ID)
-	}
-	var writes []agatestage.Write
-	if err == nil && len(progress) > 0 {
-		head.Progress = true
-		writes = append(writes, agatestage.Write{Key: progressPrefix + head.ID, Value: data})
-	}
-	after, err := job.manager.vault.write(ctx, before, head, writes...)
-	if err != nil {
-		klog.InfoS("job not handed over; it is taken over after a while", "job", head.ID, "error", err.Error())
-		return
-	}
-	job.manager.note(after)
-	if to.Name != "" {
-		_, listed, _ := job.view()
-		job.manager.tellOwner(after, Handover{Whole: true, Items: job.items, Results: listed, Progress: progress})
-	}
-	klog.InfoS("job handed over", "job", head.ID, "to", to.Name, "results", head.Results, "items", head.Items, "begun", len(progress))
+	_, listed, _ := job.view()
+	job.manager.handOver(ctx, before, to, Handover{Items: job.items, Results: listed, Progress: progress})
 }
 
 // left returns how many items have no result.
--- /dev/null
+++ b/internal/gate/batch/leave_test.go
@@ -0,0 +1,124 @@
+package batch_test
+
+import (
+	"context"
+	"net/http"
+	"strings"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"github.com/agatestage/agatestage"
+	"github.com/agatestage/agatestage/internal/gate/batch"
+	"github.com/agatestage/agatestage/internal/gate/relay"
+)
+
+var _ = ginkgo.Describe("a job whose gateway stops or is lost", func() {
+	ginkgo.It("is handed over by a planned stop", func() {
+		place := newPlace()
+		place.fleet.set(first, second)
+		owner, _ := place.start(first)
+		heir, _ := place.start(second)
+		place.engine.hold = make(chan struct{})
+		spec := place.spec("job", 4)
+		gomega.Expect(owner.Submit(context.Background(), spec)).To(gomega.Succeed())
+		place.fleet.set(second)
+		owner.Drain(context.Background())
+		close(place.engine.hold)
+		expectDone(heir, spec)
+	})
+	ginkgo.It("is handed over with the events of its unfinished items", func() {
+		place := newPlace()
+		place.fleet.set(first, second)
+		owner, _ := place.start(first)
+		heir, _ := place.start(second)
+		place.engine.serve = func(_ string, run int) relay.Result {
+			if run == 1 {
+				return relay.Result{Status: http.StatusOK, Yielded: true, Refusal: agatestage.Refuse(agatestage.CodeYielded, "yielded")}
+			}
+			return relay.Result{Status: http.StatusOK}
+		}
+		place.engine.pause = make(chan struct{})
+		spec := place.spec("job", 1)
+		gomega.Expect(owner.Submit(context.Background(), spec)).To(gomega.Succeed())
+		gomega.Eventually(func() int { return place.engine.count("job-0") }, patience).Should(gomega.Equal(2))
+		place.fleet.set(second)
+		owner.Drain(context.Background())
+		close(place.engine.pause)
+		result := expectDone(heir, spec)[0]
+		gomega.Expect(string(result.Output)).To(gomega.Equal("job-0-1\njob-0-2\njob-0-3\njob-0-4"))
+	})
+	ginkgo.It("goes on from the events that were written beside results when its gateway is lost", func() {
+		place := newPlace()
+		place.fleet.set(first, second)
+		owner, kill := place.start(first)
+		heir, _ := place.start(second)
+		place.engine.serve = func(item string, run int) relay.Result {
+			if item == "job-0" && run == 1 {
+				return relay.Result{Status: http.StatusOK, Yielded: true, Refusal: agatestage.Refuse(agatestage.CodeYielded, "yielded")}
+			}
+			return relay.Result{Status: http.StatusOK}
+		}
+		place.engine.pause = make(chan struct{})
+		spec := place.spec("job", 2)
+		gomega.Expect(owner.Submit(context.Background(), spec)).To(gomega.Succeed())
+		gomega.Eventually(func() int { return len(results(owner, spec.ID).Results) }, patience).Should(gomega.Equal(1))
+		gomega.Eventually(func() int { return place.engine.count("job-0") }, patience).Should(gomega.Equal(2))
+		kill()
+		place.fleet.set(second)
+		close(place.engine.pause)
+		outputs := make(map[string]string)
+		for _, result := range expectDone(heir, spec) {
+			outputs[result.ID] = string(result.Output)
+		}
+		gomega.Expect(outputs["job-0"]).To(gomega.Equal("job-0-1\njob-0-2\njob-0-3\njob-0-4"))
+	})
+	ginkgo.It("goes on from the events of long items though none has a result when its gateway is lost", func() {
+		place := newPlace()
+		place.fleet.set(first, second)
+		owner, kill := place.start(first)
+		heir, _ := place.start(second)
+		place.engine.events = 500
+		place.engine.serve = func(_ string, run int) relay.Result {
+			if run == 1 {
+				return relay.Result{Status: http.StatusOK, Yielded: true, Refusal: agatestage.Refuse(agatestage.CodeYielded, "yielded")}
+			}
+			return relay.Result{Status: http.StatusOK}
+		}
+		place.engine.pause = make(chan struct{})
+		spec := place.spec("job", 1)
+		gomega.Expect(owner.Submit(context.Background(), spec)).To(gomega.Succeed())
+		gomega.Eventually(func() string { return place.head(spec.ID) }, patience).Should(gomega.ContainSubstring(`"Progress":true`))
+		kill()
+		place.fleet.set(second)
+		close(place.engine.pause)
+		lines := strings.Split(string(expectDone(heir, spec)[0].Output), "\n")
+		gomega.Expect(lines).To(gomega.HaveLen(1000))
+	})
+	ginkgo.It("is accepted by a gateway that is about to stop, for another one", func() {
+		place := newPlace()
+		other := second
+		other.Slots = 10
+		place.fleet.set(other)
+		peers := &peers{managers: make(map[string]*batch.Manager)}
+		leaving, _ := place.start(first, batch.WithOthers(peers))
+		heir, _ := place.start(other, batch.WithOthers(peers))
+		peers.link(first.Name, leaving)
+		peers.link(other.Name, heir)
+		leaving.Drain(context.Background())
+		spec := place.spec("job", 4)
+		gomega.Expect(leaving.Submit(context.Background(), spec)).To(gomega.Succeed())
+		gomega.Expect(place.head(spec.ID)).To(gomega.ContainSubstring(`"Owner":"` + other.Name + `"`))
+		expectDone(heir, spec)
+	})
+	ginkgo.It("is accepted by the last gateway that stops, for the next one that starts", func() {
+		place := newPlace()
+		leaving, _ := place.start(first)
+		leaving.Drain(context.Background())
+		spec := place.spec("job", 4)
+		gomega.Expect(leaving.Submit(context.Background(), spec)).To(gomega.Succeed())
+		place.fleet.set(second)
+		heir, _ := place.start(second)
+		expectDone(heir, spec)
+	})
+})
--- a/internal/gate/batch/manager.go
+++ b/internal/gate/batch/manager.go
@@ -36,7 +36,7 @@
 	Instance string
 	Region   string
 	// Backlog counts the items that run or wait there; Slots are the slots of its
-	// own targets.
+	// own targets that online calls leave them.
 	Backlog int
 	Slots   int
 }
--- a/internal/gate/batch/place.go
+++ b/internal/gate/batch/place.go
@@ -3,11 +3,14 @@
 import (
 	"cmp"
 	"context"
+	"math"
 	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"k8s.io/klog/v2"
+
+	"github.com/agatestage/agatestage"
 )
 
 const (
@@ -46,12 +49,46 @@
 
 // place chooses the gateway that is to own a new job: this one, unless another has
 // clearly less to do for its slots. A burst of jobs that comes to one gateway would
-// otherwise wait there while others are idle.
+// otherwise wait there while others are idle. A gateway that is about to stop names
+// another one, or none if it knows of none: the next that sees the job takes it then.
 func (manager *Manager) place(id string, items int) Gateway {
 	self, others := manager.loads()
+	manager.mutex.Lock()
+	draining := manager.draining
+	manager.mutex.Unlock()
+	if draining {
+		return manager.choose(Gateway{}, others, id, items, math.Inf(1))
+	}
 	return manager.choose(self, others, id, items, self.load(items))
 }
 
+// handOver makes another gateway the owner of a job that isn't run here any more, or
+// leaves it to any if none is named.
+func (manager *Manager) handOver(ctx context.Context, before entry, to Gateway, handover Handover) {
+	head := before.Head
+	if head.Owner, head.Instance = to.Name, to.Instance; to.Name != "" {
+		head.Epoch++
+	}
+	var writes []agatestage.Write
+	if len(handover.Progress) > 0 {
+		if data, err := encodeProgress(handover.Progress); err != nil {
+			klog.ErrorS(err, "progress of items not handed over", "job", head.ID)
+		} else {
+			head.Progress = true
+			writes = append(writes, agatestage.Write{Key: progressPrefix + head.ID, Value: data})
+		}
+	}
+	after, err := manager.vault.write(ctx, before, head, writes...)
+	if err != nil {
+		klog.InfoS("job not handed over; it is taken over after a while", "job", head.ID, "error", err.Error())
+		return
+	}
+	manager.note(after)
+	handover.Whole = true
+	manager.tellOwner(after, handover)
+	klog.InfoS("job handed over", "job", head.ID, "to", to.Name, "results", head.Results, "items", head.Items, "begun", len(handover.Progress))
+}
+
 // loads returns this gateway and the others, with what was placed there lately.
 func (manager *Manager) loads() (self Gateway, others []Gateway) {
 	self = Gateway{Name: manager.name, Instance: manager.instance, Region: manager.region}
--- a/internal/gate/batch/progress.go
+++ b/internal/gate/batch/progress.go
@@ -6,8 +6,8 @@
 )
 
 // Progress is what there is of an unfinished item: the data of its events up to
-// a number, and how often targets have failed it. It is written beside results, so
-// that it costs no call of its own, and when a job is handed over.
+// a number, and how often targets have failed it. It is written beside results, when
+// there is much more of it than the store has, and when a job is handed over.
 type Progress struct {
 	ID     string   `cbor:"1,keyasint"`
 	Number int64    `cbor:"2,keyasint,omitempty"`
@@ -77,8 +77,28 @@
 	return all
 }
 
+// eventsOf counts the events in progress.
+func eventsOf(all []Progress) (count int64) {
+	for _, progress := range all {
+		count += progress.Number
+	}
+	return count
+}
+
+// worthSaving marks the job to be written if its unfinished items have so many
+// events more than the store has that their loss would cost more than a write.
+func (job *job) worthSaving() bool {
+	job.mutex.Lock()
+	defer job.mutex.Unlock()
+	if eventsOf(job.unfinishedProgress()) >= job.saved+saveEvents {
+		job.unwritten = true
+	}
+	return job.unwritten
+}
+
 // resume takes what former owners have written of unfinished items.
 func (job *job) resume(all []Progress) {
+	job.saved = eventsOf(all)
 	for _, progress := range all {
 		job.sinks[progress.ID] = &collector{text: progress.Text, number: progress.Number}
 		if progress.Failed > 0 && !job.done[progress.ID] {
--- a/internal/gate/batch/rig_test.go
+++ b/internal/gate/batch/rig_test.go
@@ -26,15 +26,17 @@
 	hold  chan struct{}
 	// pause holds back every run of an item after its first.
 	pause chan struct{}
+	// events is how many events one run sends.
+	events int64
 }
 
 func newEngine() *engine {
-	return &engine{runs: make(map[string]int), after: make(map[string]int64), serve: func(string, int) relay.Result {
+	return &engine{events: 2, runs: make(map[string]int), after: make(map[string]int64), serve: func(string, int) relay.Result {
 		return relay.Result{Status: http.StatusOK}
 	}}
 }
 
-// Serve implements relay.Runner. A run that is answered sends two events more.
+// Serve implements relay.Runner. A run that is answered sends some events more.
 func (engine *engine) Serve(ctx context.Context, call *agatestage.Call, plan relay.Plan, sink relay.Sink) relay.Result {
 	engine.mutex.Lock()
 	engine.runs[call.ID]++
@@ -54,7 +56,7 @@
 	result := engine.serve(call.ID, run)
 	if result.Status == http.StatusOK {
 		gomega.Expect(sink.Head(http.StatusOK, nil, -1)).To(gomega.Succeed())
-		for number := plan.After + 1; number <= plan.After+2; number++ {
+		for number := plan.After + 1; number <= plan.After+engine.events; number++ {
 			gomega.Expect(sink.Data(fmt.Appendf(nil, "id: %d\ndata: %s-%d\n\n", number, call.ID, number))).To(gomega.Succeed())
 			result.Last = number
 		}
@@ -133,6 +135,14 @@
 	}}}), "test")
 }
 
+// head returns a job's head as it lies in the store.
+func (place *place) head(id string) string {
+	ginkgo.GinkgoHelper()
+	record, err := place.store.Get(context.Background(), "batch/head/"+id)
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	return string(record.Value)
+}
+
 // peers passes on what gateways tell one another.
 type peers struct {
 	mutex    sync.Mutex
--- a/internal/gate/batch/submit.go
+++ b/internal/gate/batch/submit.go
@@ -56,8 +56,8 @@
 	}
 	manager.mutex.Lock()
 	known, ok := manager.heads[spec.ID]
-	draining, busy := manager.draining, manager.taking[spec.ID]
-	if !ok && !draining && !busy {
+	busy := manager.taking[spec.ID]
+	if !ok && !busy {
 		// Nobody else takes the job over between its writing and its beginning.
 		manager.taking[spec.ID] = true
 		defer manager.taken(spec.ID)
@@ -68,8 +68,6 @@
 		return repeated(known.Head, spec, digest)
 	case manager.fleet.Silent() > lostFor:
 		return unsure("the job can't be kept now", errors.New("this gateway has lost the store"))
-	case draining:
-		return agatestage.Refuse(agatestage.CodeStopping, "this gateway is about to stop")
 	case busy:
 		return unsure("the job can't be kept now", errors.New("it is being submitted already"))
 	}
@@ -95,7 +93,7 @@
 	accepted, err := manager.vault.write(ctx, entry{}, head, writes...)
 	switch {
 	case err == nil:
-		manager.accept(accepted, spec)
+		manager.accept(ctx, accepted, spec)
 		return nil
 	case errors.Is(err, errMoved):
 		return manager.repeat(ctx, spec, digest)
@@ -106,21 +104,26 @@
 	return &agatestage.Refusal{Code: agatestage.CodeStore, Message: "the store did not say whether it has the job", Ran: agatestage.RanUnknown}
 }
 
-// accept begins a job that has just been written, or tells its owner.
-func (manager *Manager) accept(accepted entry, spec Spec) {
+// accept begins a job that has just been written, or tells its owner. One that was
+// written just before the planned stop began is handed over at once.
+func (manager *Manager) accept(ctx context.Context, accepted entry, spec Spec) {
 	klog.InfoS("job accepted", "job", spec.ID, "organisation", spec.Organisation, "route", spec.Route.Name, "items", len(spec.Items),
 		"owner", accepted.Owner, "version", accepted.version)
 	manager.mutex.Lock()
-	defer manager.mutex.Unlock()
 	manager.keep(accepted)
-	if accepted.Owner != manager.name {
+	own, draining := accepted.Owner == manager.name, manager.draining
+	if !own || draining {
 		manager.view(spec.ID).items = spec.Items
-		manager.tellOwner(accepted, Handover{Whole: true, Items: spec.Items})
-		return
-	}
-	if manager.jobs[spec.ID] == nil && !manager.draining {
+	} else if manager.jobs[spec.ID] == nil {
 		manager.begin(accepted, spec.Items, nil, nil)
 	}
+	manager.mutex.Unlock()
+	switch {
+	case !own:
+		manager.tellOwner(accepted, Handover{Whole: true, Items: spec.Items})
+	case draining:
+		manager.handOver(ctx, accepted, manager.place(spec.ID, len(spec.Items)), Handover{Items: spec.Items})
+	}
 }
 
 // repeat answers a submission whose job the store has already.
