gate/sched: give the slots to batch calls that can be done in time if those before them are

In the order of due times alone, calls that will be late keep the slots until shortly before they are, one after the other. Change: each dispatch goes through the waiting calls by due time with the smoothed slots that online calls leave, and puts those behind all others that can't be done in time if all before them are.

--- a/internal/gate/sched/fleet_test.go
+++ b/internal/gate/sched/fleet_test.go
@@ -158,23 +158,20 @@
 // submit sends a job to a gateway, which gives it to one of its region that has
 // clearly less to do.
 func (fleet *playedFleet) submit() {
-	now := fleet.clock.Now()
-	{
-		taker := fleet.gateways[fleet.random.IntN(len(fleet.gateways))]
-		least := taker
-		load := func(gateway *playedGateway) float64 {
-			calls, slots := gateway.Backlog()
-			return float64(calls+itemsPerJob) / float64(max(1, slots))
-		}
-		for _, other := range fleet.gateways {
-			if other.region == taker.region && load(other)+0.25 < load(least) {
-				least = other
-			}
-		}
-		for range itemsPerJob {
-			fleet.offer(least, &playedCall{batch: true, arrived: now, left: batchWork})
+	taker := fleet.gateways[fleet.random.IntN(len(fleet.gateways))]
+	least := taker
+	load := func(gateway *playedGateway) float64 {
+		calls, slots := gateway.Backlog()
+		return float64(calls+itemsPerJob) / float64(max(1, slots))
+	}
+	for _, other := range fleet.gateways {
+		if other.region == taker.region && load(other)+0.25 < load(least) {
+			least = other
 		}
 	}
+	for range itemsPerJob {
+		fleet.offer(least, &playedCall{batch: true, arrived: fleet.clock.Now(), left: batchWork})
+	}
 }
 
 // offer asks for a slot, and queues the call if there is none now.
@@ -183,8 +180,8 @@
 	ask := Ask{Service: fleetService, Batch: call.batch, Patience: onlineAim * 7 / 10, Due: call.arrived.Add(due), Need: call.left}
 	gateway.mutex.Lock()
 	defer gateway.mutex.Unlock()
-	entry := gateway.service(fleetService)
-	if !entry.before(ask, now) {
+	entry, waiting := gateway.service(fleetService), newWaiter(ask, now)
+	if !entry.before(waiting) {
 		if call.ticket = gateway.place(entry, ask, now); call.ticket != nil {
 			fleet.send(gateway, call)
 			return
@@ -194,8 +191,8 @@
 		fleet.refused++
 		return
 	}
-	call.wait = &waiter{ask: ask, since: now, ticket: make(chan *Ticket, 1)}
-	entry.push(call.wait, now)
+	call.wait = waiting
+	entry.push(waiting)
 	if call.batch {
 		gateway.batch = append(gateway.batch, call)
 	} else {
@@ -311,6 +308,8 @@
 	for i, from := range fleet.gateways {
 		shift := time.Duration(i) * fleetStep
 		held := from.Held()
+		// It is told with each message.
+		from.Backlog()
 		for _, to := range fleet.gateways {
 			period := farPeriod
 			switch {
--- a/internal/gate/sched/place.go
+++ b/internal/gate/sched/place.go
@@ -179,9 +179,7 @@
 // spare returns how well a batch call can do without its slot: one that can't be done
 // in time anyway can best, then the one with the most time left beyond its need.
 func (ticket *Ticket) spare(now time.Time) time.Duration {
-	ask := ticket.ask
-	ask.Need = max(0, ask.Need-now.Sub(ticket.began))
-	if slack := ask.slack(now); slack >= 0 {
+	if slack := ticket.remaining(now).slack(now); slack >= 0 {
 		return slack
 	}
 	return forever
--- a/internal/gate/sched/queue.go
+++ b/internal/gate/sched/queue.go
@@ -8,27 +8,32 @@
 	"github.com/agatestage/agatestage"
 )
 
+// newWaiter makes a call that would wait for a slot from now on.
+func newWaiter(ask Ask, now time.Time) *waiter {
+	return &waiter{ask: ask, since: now, ticket: make(chan *Ticket, 1), late: ask.Batch && ask.slack(now) < 0}
+}
+
 // before reports whether a waiting call goes before a new one; the mutex is held.
-func (entry *service) before(ask Ask, now time.Time) bool {
-	if ask.Batch {
-		return len(entry.batch) > 0 && !goesBefore(ask, entry.batch[0].ask, now)
+func (entry *service) before(call *waiter) bool {
+	if call.ask.Batch {
+		return len(entry.batch) > 0 && !call.goesBefore(entry.batch[0])
 	}
-	return len(entry.online) > 0 && entry.online[0].ask.Priority <= ask.Priority
+	return len(entry.online) > 0 && entry.online[0].ask.Priority <= call.ask.Priority
 }
 
 // goesBefore reports whether a batch call goes before another one: those that can
-// be done in time first, each by its due time.
-func goesBefore(a, b Ask, now time.Time) bool {
-	return cmp.Or(cmp.Compare(lateness(a, now), lateness(b, now)), a.Due.Compare(b.Due)) < 0
+// be done in time first, each kind by due time.
+func (waiting *waiter) goesBefore(other *waiter) bool {
+	return cmp.Or(cmp.Compare(waiting.lateness(), other.lateness()), waiting.ask.Due.Compare(other.ask.Due)) < 0
 }
 
 // push adds a waiter behind those of the same rank.
-func (entry *service) push(waiting *waiter, now time.Time) {
+func (entry *service) push(waiting *waiter) {
 	queue := &entry.online
 	after := func(other *waiter) bool { return other.ask.Priority > waiting.ask.Priority }
 	if waiting.ask.Batch {
 		queue = &entry.batch
-		after = func(other *waiter) bool { return goesBefore(waiting.ask, other.ask, now) }
+		after = waiting.goesBefore
 	}
 	at := slices.IndexFunc(*queue, after)
 	if at < 0 {
--- a/internal/gate/sched/sched.go
+++ b/internal/gate/sched/sched.go
@@ -18,7 +18,6 @@
 package sched
 
 import (
-	"cmp"
 	"context"
 	"slices"
 	"sync"
@@ -93,6 +92,8 @@
 	ask    Ask
 	since  time.Time
 	ticket chan *Ticket
+	// late says that a batch call can't be done in time.
+	late bool
 }
 
 // service is what is known of a group of targets.
@@ -222,8 +223,8 @@
 func (scheduler *Scheduler) Acquire(ctx context.Context, ask Ask) (*Ticket, error) {
 	scheduler.mutex.Lock()
 	now := scheduler.clock.Now()
-	entry := scheduler.service(ask.Service)
-	if !entry.before(ask, now) {
+	entry, waiting := scheduler.service(ask.Service), newWaiter(ask, now)
+	if !entry.before(waiting) {
 		if ticket := scheduler.place(entry, ask, now); ticket != nil {
 			scheduler.mutex.Unlock()
 			return ticket, nil
@@ -235,8 +236,7 @@
 			return nil, refusal
 		}
 	}
-	waiting := &waiter{ask: ask, since: now, ticket: make(chan *Ticket, 1)}
-	entry.push(waiting, now)
+	entry.push(waiting)
 	scheduler.mutex.Unlock()
 	return scheduler.wait(ctx, entry, waiting)
 }
@@ -320,12 +320,9 @@
 	}
 }
 
-// dispatch gives free slots to waiting calls; the mutex is held. Batch calls that
-// can't be done in time any more go behind all that can.
+// dispatch gives free slots to waiting calls; the mutex is held.
 func (scheduler *Scheduler) dispatch(entry *service, now time.Time) {
-	slices.SortStableFunc(entry.batch, func(a, b *waiter) int {
-		return cmp.Compare(lateness(a.ask, now), lateness(b.ask, now))
-	})
+	scheduler.forecast(entry, now)
 	for _, queue := range []*[]*waiter{&entry.online, &entry.batch} {
 		kept := (*queue)[:0]
 		for _, waiting := range *queue {
@@ -341,14 +338,6 @@
 	}
 }
 
-// lateness is 0 for calls that can be done in time and 1 for the others.
-func lateness(ask Ask, now time.Time) int {
-	if ask.slack(now) < 0 {
-		return 1
-	}
-	return 0
-}
-
 // slack returns for how long a batch call may still wait and be done in time.
 func (ask Ask) slack(now time.Time) time.Duration {
 	if ask.Due.IsZero() {
