gate/batch: a gateway that the store turns away lets another one accept its jobs

Ruled out: keeping jobs in memory until the store is back (a 202 promises that they last); proxying all calls to the store through other gateways (leases and heads follow from each gateway's own contact). Change: a job that certainly isn't kept goes to a gateway that hears the store, of this region first, which accepts it as its own; the gateway that was sent it learns the head and asks the owner for results. An exchange without an answer is answered as unknown, not as refused. A job is passed on once. Tests: 'is accepted by one that hears the store, and its results are read at both', 'is refused if no other hears it either, and isn't kept'; they need Accept and Submit between gateways, which are new (before, Submit was refused there by the code removed).

--- a/internal/gate/batch/access.go
+++ b/internal/gate/batch/access.go
@@ -14,9 +14,9 @@
 	// storeRetry is when a caller may come back whom the store couldn't be asked
 	// for.
 	storeRetry = time.Second
-	// lostFor is how long the store must have failed before submissions are refused
-	// without asking it, so that their callers try another gateway: longer than a
-	// single lost answer takes to be tried again.
+	// lostFor is how long the store must have failed before submissions go to another
+	// gateway, or are refused, without asking it: longer than a single lost answer
+	// takes to be tried again.
 	lostFor = 400 * time.Millisecond
 	// confirmedFor is how old the heads may be to say that a job has no more
 	// results; callers may rely on what another gateway has shown for a second.
--- a/internal/gate/batch/leave_test.go
+++ b/internal/gate/batch/leave_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
+	"github.com/pkg/errors"
 
 	"github.com/agatestage/agatestage"
 	"github.com/agatestage/agatestage/internal/gate/batch"
@@ -125,3 +126,38 @@
 		expectDone(heir, spec)
 	})
 })
+
+var _ = ginkgo.Describe("a job that comes to a gateway which the store turns away", func() {
+	// start starts such a gateway, whose own calls to the store fail, and another.
+	start := func(hears bool) (place *place, lost, other *batch.Manager) {
+		place = newPlace()
+		hearing := second
+		hearing.Hears = hears
+		place.fleet.set(first, hearing)
+		peers := &peers{managers: make(map[string]*batch.Manager)}
+		other, _ = place.start(hearing, batch.WithOthers(peers))
+		fine := place.fleet
+		place.fleet = &fleet{}
+		place.fleet.set(first, hearing)
+		place.fleet.lose(time.Second)
+		lost, _ = place.start(first, batch.WithOthers(peers))
+		place.fleet = fine
+		peers.link(first.Name, lost)
+		peers.link(second.Name, other)
+		return place, lost, other
+	}
+	ginkgo.It("is accepted by one that hears the store, and its results are read at both", func() {
+		place, lost, other := start(true)
+		spec := place.spec("job", 4)
+		gomega.Expect(lost.Submit(context.Background(), spec)).To(gomega.Succeed())
+		expectDone(other, spec)
+		expectDone(lost, spec)
+		gomega.Expect(lost.Submit(context.Background(), spec)).To(gomega.Succeed())
+	})
+	ginkgo.It("is refused if no other hears it either, and isn't kept", func() {
+		place, lost, _ := start(false)
+		expectRefused(lost.Submit(context.Background(), place.spec("job", 4)), agatestage.CodeStore, agatestage.RanNo)
+		_, err := place.store.Get(context.Background(), "batch/head/job")
+		gomega.Expect(errors.Is(err, agatestage.ErrNotFound)).To(gomega.BeTrue())
+	})
+})
--- a/internal/gate/batch/manager.go
+++ b/internal/gate/batch/manager.go
@@ -35,6 +35,8 @@
 	Name     string
 	Instance string
 	Region   string
+	// Hears says that the store answers the gateway.
+	Hears bool
 	// Backlog counts the items that run or wait there; Slots are the slots of its
 	// own targets that online calls leave them.
 	Backlog int
--- a/internal/gate/batch/results.go
+++ b/internal/gate/batch/results.go
@@ -31,6 +31,9 @@
 	// Changed tells the owner of a job what has been written to its head. Owners also
 	// see that by themselves, later.
 	Changed(owner string, handover Handover)
+	// Submit lets a gateway accept a job and returns the record of its head. An error
+	// that is no *agatestage.Refusal leaves it open whether it has.
+	Submit(ctx context.Context, gateway string, spec Spec) (agatestage.Record, error)
 }
 
 // Handover is what a gateway that has written the head of a job tells the job's owner,
@@ -54,6 +57,11 @@
 // Changed implements Others.
 func (alone) Changed(string, Handover) {}
 
+// Submit implements Others.
+func (alone) Submit(context.Context, string, Spec) (agatestage.Record, error) {
+	return agatestage.Record{}, agatestage.Refuse(agatestage.CodeStore, "this gateway reaches no other")
+}
+
 // Answer is what an owner tells of its job.
 type Answer struct {
 	Head    Head
--- a/internal/gate/batch/rig_test.go
+++ b/internal/gate/batch/rig_test.go
@@ -178,6 +178,11 @@
 	}
 }
 
+// Submit implements batch.Others.
+func (peers *peers) Submit(ctx context.Context, gateway string, spec batch.Spec) (agatestage.Record, error) {
+	return peers.manager(gateway).Accept(ctx, spec)
+}
+
 // link makes managers tell one another.
 func (peers *peers) link(name string, manager *batch.Manager) {
 	peers.mutex.Lock()
--- a/internal/gate/batch/submit.go
+++ b/internal/gate/batch/submit.go
@@ -23,6 +23,8 @@
 	Items        []Item
 	// Arrived is when the submission was read.
 	Arrived time.Time
+	// relayed says that another gateway, which has lost the store, was sent the job.
+	relayed bool
 }
 
 // canonical encodes equal items to equal bytes, whatever the order of their
@@ -67,7 +69,7 @@
 	case ok:
 		return repeated(known.Head, spec, digest)
 	case manager.fleet.Silent() > lostFor:
-		return unsure("the job can't be kept now", errors.New("this gateway has lost the store"))
+		return manager.pass(ctx, spec, errors.New("this gateway has lost the store"))
 	case busy:
 		return unsure("the job can't be kept now", errors.New("it is being submitted already"))
 	}
@@ -98,7 +100,7 @@
 	case errors.Is(err, errMoved):
 		return manager.repeat(ctx, spec, digest)
 	case errors.Is(err, agatestage.ErrUnavailable):
-		return unsure("the job can't be kept now", err)
+		return manager.pass(ctx, spec, err)
 	}
 	klog.InfoS("job submission not acknowledged by the store", "job", spec.ID, "error", err.Error())
 	return &agatestage.Refusal{Code: agatestage.CodeStore, Message: "the store did not say whether it has the job", Ran: agatestage.RanUnknown}
--- a/internal/gate/start/jobs.go
+++ b/internal/gate/start/jobs.go
@@ -7,14 +7,19 @@
 	"github.com/pkg/errors"
 	"k8s.io/klog/v2"
 
+	"github.com/agatestage/agatestage"
 	"github.com/agatestage/agatestage/internal/gate/batch"
 	"github.com/agatestage/agatestage/internal/gate/gossip"
 	"github.com/agatestage/agatestage/internal/trust/certs"
 	"github.com/agatestage/agatestage/internal/wire/link"
 )
 
-// kindJob is the exchange by which a gateway asks the owner of a job.
-const kindJob = "GatewayJob"
+// kindJob is the exchange by which a gateway asks the owner of a job, kindSubmit that
+// by which it passes a job on.
+const (
+	kindJob    = "GatewayJob"
+	kindSubmit = "GatewaySubmit"
+)
 
 const (
 	// jobTimeout bounds a question; the store is asked after it.
@@ -67,6 +72,46 @@
 	}()
 }
 
+// accepted is the answer to a job that was passed on.
+type accepted struct {
+	Record  agatestage.Record
+	Refusal *agatestage.Refusal
+}
+
+// Submit implements batch.Others.
+func (owners *owners) Submit(ctx context.Context, gateway string, spec batch.Spec) (agatestage.Record, error) {
+	address, ok := owners.mesh.Address(gateway)
+	if !ok {
+		return agatestage.Record{}, agatestage.Refuse(agatestage.CodeStore, "the address of gateway %q is not known", gateway)
+	}
+	ctx, cancel := context.WithTimeout(ctx, handoverTimeout)
+	defer cancel()
+	var reply accepted
+	if err := owners.node.Ask(ctx, address, kindSubmit, spec, &reply); err != nil {
+		return agatestage.Record{}, err
+	}
+	if reply.Refusal != nil {
+		return agatestage.Record{}, reply.Refusal
+	}
+	return reply.Record, nil
+}
+
+// serveSubmit accepts jobs for other gateways.
+func serveSubmit(jobs *batch.Manager) link.Handler {
+	return func(ctx context.Context, _ certs.Identity, stream *link.Stream) error {
+		var spec batch.Spec
+		if err := stream.Receive(&spec); err != nil {
+			return err
+		}
+		record, err := jobs.Accept(ctx, spec)
+		var refusal *agatestage.Refusal
+		if err != nil && !errors.As(err, &refusal) {
+			return err
+		}
+		return stream.Send(accepted{Record: record, Refusal: refusal})
+	}
+}
+
 // exchange sends one question to a gateway.
 func (owners *owners) exchange(ctx context.Context, owner string, asked question) (reply told, err error) {
 	address, ok := owners.mesh.Address(owner)
--- a/internal/gate/start/source.go
+++ b/internal/gate/start/source.go
@@ -126,7 +126,7 @@
 	for _, state := range view.mesh.Alive() {
 		if !state.Leaving {
 			gateways = append(gateways, batch.Gateway{
-				Name: state.Name, Instance: state.Instance, Region: state.Region, Backlog: state.Backlog, Slots: state.Slots,
+				Name: state.Name, Instance: state.Instance, Region: state.Region, Hears: state.Hears, Backlog: state.Backlog, Slots: state.Slots,
 			})
 		}
 	}
--- a/internal/gate/start/wire.go
+++ b/internal/gate/start/wire.go
@@ -115,6 +115,7 @@
 	jobs := batch.New(self, store, clock, relay, holder, view, serve.Fingerprint,
 		batch.WithContact(contact), batch.WithOthers(&owners{node: node, mesh: mesh}))
 	node.Handle(kindJob, serveJob(jobs))
+	node.Handle(kindSubmit, serveSubmit(jobs))
 	return jobs
 }
 
