--- a/internal/gate/batch/leave_test.go
+++ b/internal/gate/batch/leave_test.go
@@ -34,12 +34,7 @@
 		place.fleet.set(first, second)
 		owner, _ := place.start(first)
 		heir, _ := place.start(second)
-		place.engine.serve = func(_ string, run int) relay.Result {
-			if run == 1 {
-				return relay.Result{Status: http.StatusOK, Yielded: true, Refusal: agatestage.Refuse(agatestage.CodeYielded, "yielded")}
-			}
-			return relay.Result{Status: http.StatusOK}
-		}
+		place.engine.serve = yieldFirst
 		place.engine.pause = make(chan struct{})
 		spec := place.spec("job", 1)
 		gomega.Expect(owner.Submit(context.Background(), spec)).To(gomega.Succeed())
@@ -56,8 +51,8 @@
 		owner, kill := place.start(first)
 		heir, _ := place.start(second)
 		place.engine.serve = func(item string, run int) relay.Result {
-			if item == "job-0" && run == 1 {
-				return relay.Result{Status: http.StatusOK, Yielded: true, Refusal: agatestage.Refuse(agatestage.CodeYielded, "yielded")}
+			if item == "job-0" {
+				return yieldFirst(item, run)
 			}
 			return relay.Result{Status: http.StatusOK}
 		}
@@ -81,12 +76,7 @@
 		owner, kill := place.start(first)
 		heir, _ := place.start(second)
 		place.engine.events = 500
-		place.engine.serve = func(_ string, run int) relay.Result {
-			if run == 1 {
-				return relay.Result{Status: http.StatusOK, Yielded: true, Refusal: agatestage.Refuse(agatestage.CodeYielded, "yielded")}
-			}
-			return relay.Result{Status: http.StatusOK}
-		}
+		place.engine.serve = yieldFirst
 		place.engine.pause = make(chan struct{})
 		spec := place.spec("job", 1)
 		gomega.Expect(owner.Submit(context.Background(), spec)).To(gomega.Succeed())
--- a/internal/gate/batch/rig_test.go
+++ b/internal/gate/batch/rig_test.go
@@ -38,6 +38,15 @@
 	}}
 }
 
+// yieldFirst is a script by which the first run of an item gives way after its events.
+func yieldFirst(_ string, run int) relay.Result {
+	result := relay.Result{Status: http.StatusOK}
+	if run == 1 {
+		result.Yielded, result.Refusal = true, agatestage.Refuse(agatestage.CodeYielded, "yielded")
+	}
+	return result
+}
+
 // Serve implements relay.Runner. A run that is answered sends some events more.
 func (engine *engine) Serve(ctx context.Context, call *agatestage.Call, plan relay.Plan, sink relay.Sink) relay.Result {
 	engine.mutex.Lock()
