--- a/internal/base/logs/logs_test.go
+++ b/internal/base/logs/logs_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"io"
 	"strings"
 	"sync"
 	"testing"
@@ -9,6 +10,7 @@
 
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
+	"k8s.io/klog/v2"
 	clocktest "k8s.io/utils/clock/testing"
 
 	"github.com/agatestage/agatestage"
@@ -94,3 +96,15 @@
 		gomega.Expect(target.String()).To(gomega.ContainSubstring("W log lines dropped message=\"often\" lines=1400\n"))
 	})
 })
+
+// BenchmarkLine measures what the longest line of a request costs before it is
+// written: its formatting and its budget, beyond which it is dropped.
+func BenchmarkLine(b *testing.B) {
+	writer := logs.Install(io.Discard, agatestage.SystemClock())
+	defer writer.Close()
+	for b.Loop() {
+		klog.InfoS("request answered", "id", "9c41d07be2a35f68", "organisation", "huka270", "route", "r-qs3xbaw", "version", uint64(36), "code", "",
+			"status", 200, "begun", true, "ran", true, "targets", []string{"i-7f3a91c2"}, "last", int64(34), "first", 34*time.Millisecond,
+			"total", time.Second, "wait", 5*time.Second, "storeAge", 400*time.Millisecond, "reason", "")
+	}
+}
