--- a/test/whole/rig_test.go
+++ b/test/whole/rig_test.go
@@ -13,7 +13,6 @@
 	"os/exec"
 	"path/filepath"
 	"regexp"
-	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -26,11 +25,8 @@
 
 	"github.com/agatestage/agatestage"
 	"github.com/agatestage/agatestage/internal/base/setup"
-	"github.com/agatestage/agatestage/internal/conf/model"
-	"github.com/agatestage/agatestage/internal/entry/admin"
 	"github.com/agatestage/agatestage/internal/fake/fault"
 	"github.com/agatestage/agatestage/internal/fake/store"
-	"github.com/agatestage/agatestage/internal/tool/client"
 	"github.com/agatestage/agatestage/internal/trust/certs"
 	"github.com/agatestage/agatestage/internal/trust/keys"
 )
@@ -278,99 +274,6 @@
 	rig.adopt(name, zone, process)
 }
 
-func (rig *rig) admin(entry string) *client.Client {
-	return client.New(rig.admins[entry], rig.operator.Secret)
-}
-
-// confirm plans an intent and confirms it.
-func (rig *rig) confirm(entry string, intent model.Intent) admin.Confirmed {
-	ctx, cancel := context.WithTimeout(rig.ctx, patience)
-	defer cancel()
-	plan, err := rig.admin(entry).Plan(ctx, intent)
-	gomega.Expect(err).NotTo(gomega.HaveOccurred())
-	confirmed, err := rig.admin(entry).Confirm(ctx, plan.Digest)
-	gomega.Expect(err).NotTo(gomega.HaveOccurred())
-	return confirmed
-}
-
-func (rig *rig) createKey(entry, organisation string) admin.CreatedKey {
-	created, err := rig.admin(entry).CreateKey(rig.ctx, admin.NewKey{Organisation: organisation})
-	gomega.Expect(err).NotTo(gomega.HaveOccurred())
-	_, err = rig.admin(entry).Confirm(rig.ctx, created.Plan.Digest)
-	gomega.Expect(err).NotTo(gomega.HaveOccurred())
-	return created
-}
-
-// baseIntent opens the model and the order service to one organisation.
-func baseIntent(engines ...string) model.Intent {
-	intent := model.Intent{
-		Organisations: []model.Organisation{{Name: "lothian", Rate: 500, Burst: 1000}},
-		Models:        []model.Model{{Name: modelName, Version: "1"}},
-		Services:      []model.Service{{Name: "desk", Idempotent: []string{http.MethodGet}}},
-		Routes: []model.Route{
-			{Name: "chat", Model: modelName, Batch: true, FirstByte: setup.Duration{Duration: 5 * time.Second}, Between: setup.Duration{Duration: 2 * time.Second}},
-			{Name: "orders", Service: "desk"},
-		},
-		Targets: []model.Target{{Name: "desk", Services: []string{"desk"}, Online: true}},
-	}
-	for _, name := range engines {
-		intent.Targets = append(intent.Targets, model.Target{Name: name, Models: []string{modelName}, Online: true, Batch: true})
-	}
-	return intent
-}
-
-// fleet starts two entries and one side for each engine, and waits until both
-// entries answer.
-func (rig *rig) fleet(engines ...string) {
-	for i, name := range engines {
-		zone := fmt.Sprintf("east-%d", i%2+1)
-		rig.side("side-"+name, zone, nil, engineTarget(name, rig.engine(name)))
-	}
-	rig.entry("entry-a", "east-1", nil)
-	rig.entry("entry-b", "east-2", nil)
-	rig.confirm("entry-a", baseIntent(engines...))
-	rig.key = rig.createKey("entry-a", "lothian").Key
-	if len(engines) > 0 {
-		rig.ready("entry-a")
-		rig.ready("entry-b")
-	}
-}
-
-// ready waits until an entry answers a completion.
-func (rig *rig) ready(entry string) {
-	gomega.Eventually(func() int {
-		status, _ := rig.try(entry, http.MethodPost, "/v1/completions", `{"model":"wording","prompt":"ready","max_tokens":1}`)
-		return status
-	}, patience, poll).Should(gomega.Equal(http.StatusOK))
-}
-
-// request makes a request with the rig's key.
-func (rig *rig) request(entry, method, path, body string) *http.Request {
-	request, err := http.NewRequestWithContext(rig.ctx, method, rig.callers[entry]+path, strings.NewReader(body))
-	gomega.Expect(err).NotTo(gomega.HaveOccurred())
-	request.Header.Set("Authorization", "Bearer "+rig.key)
-	request.Header.Set("Content-Type", "application/json")
-	return request
-}
-
-// try makes a request and returns its status, or 0 if it failed.
-func (rig *rig) try(entry, method, path, body string) (int, string) {
-	return rig.send(rig.request(entry, method, path, body))
-}
-
-func (rig *rig) send(request *http.Request) (int, string) {
-	response, err := rig.http.Do(request)
-	if err != nil {
-		return 0, err.Error()
-	}
-	defer response.Body.Close()
-	var data bytes.Buffer
-	if _, err = data.ReadFrom(response.Body); err != nil {
-		return 0, err.Error()
-	}
-	return response.StatusCode, data.String()
-}
-
 // failStore sets the store's faults.
 func (rig *rig) failStore(faults store.Faults) {
 	data, err := json.Marshal(faults)
@@ -395,7 +298,3 @@
 	go func() { _ = relay.Serve(rig.ctx) }()
 	return relay
 }
-
-func chat(text string, tokens int, stream bool) string {
-	return fmt.Sprintf(`{"model":%q,"stream":%t,"max_tokens":%d,"messages":[{"role":"user","content":%q}]}`, modelName, stream, tokens, text)
-}
