gate/batch: results of a write that was given up are shown once the store has executed it

Cause (by the code): a job that moves cancels its write that is on its way; the store may execute it all the same, and others show its results. If the job stays with its gateway (its next write conflicts), it is taken up again from that gateway's older head, without reading the store, and the newer head is then ignored as one whose acknowledgement is outstanding, until the next write fails seconds later. Meanwhile this gateway shows fewer results than were read elsewhere. Change: a job whose head names this process is read from the store when it is taken up again; a newer head with other results, while no write of this gateway is on its way or waits, makes the job be read anew. Test: 'shows the results of a write that its gateway has given up and the store executed' failed before (0 results after 20 s).

--- a/internal/gate/batch/job.go
+++ b/internal/gate/batch/job.go
@@ -45,6 +45,8 @@
 	// says that the store doesn't have all counts yet.
 	failed    map[string]int
 	unwritten bool
+	// committing says that a write of the head is on its way.
+	committing bool
 	// sinks gather the unfinished items' events.
 	sinks map[string]*collector
 	// changed is closed when more results are listed or the job has ended.
@@ -190,14 +192,13 @@
 	job.mutex.Lock()
 	before, ready, progress := job.entry, slices.Clone(job.ready), job.unfinishedProgress()
 	unwritten := job.unwritten
-	job.unwritten = false
+	job.unwritten, job.committing = false, true
 	job.mutex.Unlock()
 	defer func() {
-		if err != nil && unwritten {
-			job.mutex.Lock()
-			defer job.mutex.Unlock()
-			job.unwritten = true
-		}
+		job.mutex.Lock()
+		defer job.mutex.Unlock()
+		job.committing = false
+		job.unwritten = job.unwritten || (err != nil && unwritten)
 	}()
 	chunks, err := splitResults(ready)
 	if err != nil {
@@ -286,8 +287,9 @@
 		return false
 	}
 	if seen.Results != job.entry.Results {
-		// Own results whose write has not been acknowledged here yet.
-		return true
+		// Own results whose write has not been acknowledged here yet; if none is on its
+		// way, an earlier one was executed late, and the job has to be read anew.
+		return job.committing || len(job.ready) > 0
 	}
 	job.entry = seen
 	return seen.Open()
--- a/internal/gate/batch/leave_test.go
+++ b/internal/gate/batch/leave_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net/http"
 	"strings"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
 	"github.com/pkg/errors"
@@ -89,6 +91,30 @@
 		// An item of the sheets has 200 events in 5 s, and this one had 500 already.
 		gomega.Expect(place.engine.needed("job-0")).To(gomega.BeNumerically("<=", time.Second))
 	})
+	ginkgo.It("shows the results of a write that its gateway has given up and the store executed", func() {
+		place := newPlace()
+		place.fleet.set(first)
+		owner, _ := place.start(first)
+		place.engine.hold = make(chan struct{})
+		spec := place.spec("job", 2)
+		gomega.Expect(owner.Submit(context.Background(), spec)).To(gomega.Succeed())
+		record, err := place.store.Get(context.Background(), "batch/head/job")
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		var head batch.Head
+		gomega.Expect(json.Unmarshal(record.Value, &head)).To(gomega.Succeed())
+		head.Results, head.Chunks = 1, 1
+		value, err := json.Marshal(head)
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		chunk, err := cbor.Marshal([]batch.Result{{ID: "job-0", Output: []byte("job-0-1\njob-0-2")}})
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		_, err = place.store.Commit(context.Background(), []agatestage.Condition{{Key: record.Key, Version: record.Version}},
+			[]agatestage.Write{{Key: record.Key, Value: value}, {Key: "batch/chunk/job/00000", Value: chunk}})
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		gomega.Eventually(func() int { return len(results(owner, spec.ID).Results) }, patience).Should(gomega.Equal(1))
+		close(place.engine.hold)
+		gomega.Expect(expectDone(owner, spec)).To(gomega.HaveLen(2))
+		gomega.Expect(place.engine.count("job-0")).To(gomega.Equal(1))
+	})
 	ginkgo.It("is accepted by a gateway that is about to stop, for another one", func() {
 		place := newPlace()
 		other := second
--- a/internal/gate/batch/take.go
+++ b/internal/gate/batch/take.go
@@ -95,8 +95,15 @@
 // it.
 func (manager *Manager) take(ctx context.Context, orphan entry) {
 	defer manager.taken(orphan.ID)
-	taken, err := orphan, error(nil)
-	if !manager.names(orphan.Head) {
+	var taken entry
+	var err error
+	if manager.names(orphan.Head) {
+		// A write of this process may have been executed though nobody waited for it.
+		if taken, err = manager.vault.head(ctx, orphan.ID); err == nil && (!manager.names(taken.Head) || !taken.Open()) {
+			manager.note(taken)
+			return
+		}
+	} else {
 		next := orphan.Head
 		next.Owner, next.Instance, next.Epoch = manager.name, manager.instance, next.Epoch+1
 		taken, err = manager.vault.write(ctx, orphan, next)
@@ -116,7 +123,7 @@
 		listed, err = manager.vault.results(ctx, head, 0)
 	}
 	var progress []Progress
-	if orphan.Progress {
+	if head.Progress {
 		var progressErr error
 		if progress, progressErr = manager.vault.progress(ctx, head.ID); progressErr != nil {
 			klog.InfoS("unfinished items begin anew", "job", head.ID, "error", progressErr.Error())
