gate/batch: the test of late writes waits until the item runs

Trace (its log): the job was accepted at .7511, the test's write was seen by the feed and the job read anew at .7513, before the item's goroutine had begun; the item has a result then and isn't run, which is right. So the check needs its item to run first: the test waits for that, and still expects one run in the end.

--- a/internal/gate/batch/leave_test.go
+++ b/internal/gate/batch/leave_test.go
@@ -98,6 +98,7 @@
 		place.engine.hold = make(chan struct{})
 		spec := place.spec("job", 2)
 		gomega.Expect(owner.Submit(context.Background(), spec)).To(gomega.Succeed())
+		gomega.Eventually(func() int { return place.engine.count("job-0") }, patience).Should(gomega.Equal(1))
 		record, err := place.store.Get(context.Background(), "batch/head/job")
 		gomega.Expect(err).NotTo(gomega.HaveOccurred())
 		var head batch.Head
