gate/batch: a run of an item that comes to nothing says why

It now has the refusal's code and message, and agatestage_gateway_item_runs_total{code} counts the runs of items by refusal, so that 'refused as harmful' and 'no slot', which has no line, can be told apart on each gateway.

No change of logic.

--- a/internal/gate/batch/run.go
+++ b/internal/gate/batch/run.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"k8s.io/klog/v2"
 
 	"github.com/agatestage/agatestage"
@@ -121,6 +122,11 @@
 // evaluateRun updates the stats with the outcome of a run. It returns the item's
 // result if the run completed the item, or if the item is given up.
 func (job *job) evaluateRun(item *Item, route *rules.Route, sink *collector, result *relay.Result, stats *runStats) (Result, bool) {
+	var code, reason string
+	if result.Refusal != nil {
+		code, reason = string(result.Refusal.Code), result.Refusal.Message
+	}
+	metrics.GetOrCreateCounter(`agatestage_gateway_item_runs_total{code="` + code + `"}`).Inc()
 	switch {
 	case result.Refusal == nil && result.Status == http.StatusOK:
 		job.manager.recordItemCost(stats, sink.lastEvent())
@@ -137,7 +143,7 @@
 	default:
 		stats.incomplete++
 	}
-	klog.InfoS("item run failed", "job", job.head.ID, "item", item.ID, "status", result.Status, "targets", result.Targets, "failed", stats.failed, "broken", stats.incomplete, "after", result.LastEventID)
+	klog.InfoS("item run failed", "job", job.head.ID, "item", item.ID, "status", result.Status, "code", code, "reason", reason, "targets", result.Targets, "failed", stats.failed, "broken", stats.incomplete, "after", result.LastEventID)
 	if stats.failed >= route.Attempts {
 		klog.InfoS("item given up", "job", job.head.ID, "item", item.ID, "failed", stats.failed)
 		return Result{ID: item.ID, Failed: true}, true
