route/blame: batch calls are never refused for crashes

Cause: gate/relay asked the list of harmful requests for items, too. Two targets that went down one by one with the item in flight made every gateway refuse it for ten minutes, longer than any job here lives; gate/batch took each refusal for a run that came to nothing and gave the item up at the end of its job's time.

Now blame.List decides in one place, by the call: Admit never refuses a batch call and Charge gives it no strike. What it reports, here and to the other gateways, is the loss alone (fingerprint 0), as losses under items still have to show a common cause: without them an online call that lost one of three targets that went down together would be blamed for it. Items and online calls with the same body no longer share a record: an item is no evidence against an online call, since the users say that items never crash servers, and an online call's strikes don't hold up an item, which is owed.

Ruled out: a longer list of strikes or a shorter time for items (the same fault, only rarer).

Online calls are refused as before ('a request that crashes targets', unchanged but for its fixture).

--- a/internal/entry/relay/relay.go
+++ b/internal/entry/relay/relay.go
@@ -112,10 +112,9 @@
 	ran := agatestage.RanNo
 	var lastRefusal *agatestage.Refusal
 	for range maxAttempts {
-		if err = relay.blame.Refuse(call.Fingerprint); err != nil {
+		if err = relay.blame.Admit(call); err != nil {
 			return false, withRan(err, ran)
 		}
-		call.Suspect = relay.blame.Suspect(call.Fingerprint)
 		var candidate agatestage.Candidate
 		if candidate, err = relay.pickTarget(ctx, call, tried); err != nil {
 			if lastRefusal != nil {
@@ -167,9 +166,7 @@
 // recordStrike records a strike against a call whose target was lost while it ran
 // the call, and sends the strike to the other entries.
 func (relay *Relay) recordStrike(ctx context.Context, call *agatestage.Call, candidate agatestage.Candidate) {
-	strike := blame.Strike{Fingerprint: call.Fingerprint, Target: candidate.Target}
-	relay.blame.Add(strike)
-	relay.strike(ctx, strike)
+	relay.strike(ctx, relay.blame.Charge(call, candidate.Target))
 }
 
 // mayRetry reports whether another attempt is allowed.
--- a/internal/gate/relay/probe.go
+++ b/internal/gate/relay/probe.go
@@ -8,7 +8,6 @@
 
 	"github.com/agatestage/agatestage"
 	"github.com/agatestage/agatestage/internal/base/ticks"
-	"github.com/agatestage/agatestage/internal/route/blame"
 )
 
 const (
@@ -20,7 +19,7 @@
 )
 
 // checkCrash probes whether a target whose connection broke still accepts others.
-// If it does not, it crashed while it ran the call, and the call is blamed.
+// If it does not, it crashed while it ran the call, and an online call is blamed.
 func (run *run) checkCrash(endpoint agatestage.Endpoint) {
 	call := run.call
 	go func() {
@@ -28,9 +27,7 @@
 			return
 		}
 		klog.InfoS("target went down", "target", endpoint.ID, "address", endpoint.Address, "call", call.ID)
-		strike := blame.Strike{Fingerprint: call.Fingerprint, Target: endpoint.ID}
-		run.blame.Add(strike)
-		run.strike(strike)
+		run.strike(run.blame.Charge(call, endpoint.ID))
 	}()
 }
 
--- a/internal/gate/relay/relay.go
+++ b/internal/gate/relay/relay.go
@@ -179,11 +179,10 @@
 
 func (run *run) serve(ctx context.Context) {
 	for {
-		if err := run.blame.Refuse(run.call.Fingerprint); err != nil && !run.result.ResponseStarted {
+		if err := run.blame.Admit(run.call); err != nil && !run.result.ResponseStarted {
 			run.fail(asRefusal(err))
 			return
 		}
-		run.call.Suspect = run.blame.Suspect(run.call.Fingerprint)
 		reservation, err := run.acquire(ctx)
 		if err != nil {
 			run.fail(asRefusal(err))
--- a/internal/gate/relay/relay_test.go
+++ b/internal/gate/relay/relay_test.go
@@ -33,6 +33,8 @@
 	latencyObjective = 300 * time.Millisecond
 	gapObjective     = 200 * time.Millisecond
 	deadline         = 5 * time.Second
+	// fingerprint is that of all calls.
+	fingerprint = 7
 )
 
 // The headers of the test dialect.
@@ -46,6 +48,7 @@
 type fixture struct {
 	*relay.Relay
 	sched   *sched.Scheduler
+	list    *blame.List
 	strikes chan blame.Strike
 }
 
@@ -65,8 +68,8 @@
 	}
 	fixture.sched.Apply(endpoints)
 	fixture.sched.SetHomes(homes)
-	list := blame.New(clock)
-	fixture.Relay = relay.New(clock, fixture.sched, conns.New(clock), dialect{}, list, relay.WithStrikes(func(strike blame.Strike) { fixture.strikes <- strike }))
+	fixture.list = blame.New(clock)
+	fixture.Relay = relay.New(clock, fixture.sched, conns.New(clock), dialect{}, fixture.list, relay.WithStrikes(func(strike blame.Strike) { fixture.strikes <- strike }))
 	return fixture
 }
 
@@ -93,9 +96,23 @@
 	return fixture.send("call", plan)
 }
 
+// serveBatch serves a run of an item.
+func (fixture *fixture) serveBatch() (relay.Result, *sink) {
+	plan := stream()
+	plan.Batch, plan.Attempts = true, 1
+	return fixture.serve(plan)
+}
+
+// receiveStrike returns the next strike that is reported to the other gateways.
+func (fixture *fixture) receiveStrike() (strike blame.Strike) {
+	ginkgo.GinkgoHelper()
+	gomega.Eventually(fixture.strikes, deadline).Should(gomega.Receive(&strike))
+	return strike
+}
+
 func (fixture *fixture) send(id string, plan relay.Plan) (relay.Result, *sink) {
 	sink := &sink{}
-	call := &agatestage.Call{ID: id, Method: http.MethodPost, Host: "host", Path: "/path?query", Body: []byte("body"), Fingerprint: 7}
+	call := &agatestage.Call{ID: id, Method: http.MethodPost, Host: "host", Path: "/path?query", Body: []byte("body"), Fingerprint: fingerprint, Batch: plan.Batch}
 	return fixture.Serve(context.Background(), call, plan, sink), sink
 }
 
@@ -346,15 +363,7 @@
 
 var _ = ginkgo.Describe("a request that crashes targets", func() {
 	ginkgo.It("is reported to other gateways and refused after the second crash", func() {
-		down := func() *target {
-			var crashing *target
-			crashing = newTarget(func(*exchange) bool {
-				_ = crashing.listener.Close()
-				return false
-			})
-			return crashing
-		}
-		fixture := newFixture(down(), down(), newTarget(succeed))
+		fixture := newFixture(newCrashingTarget(), newCrashingTarget(), newTarget(succeed))
 		plan := plan()
 		_, _ = fixture.serve(plan)
 		gomega.Eventually(fixture.strikes, deadline).Should(gomega.Receive())
@@ -366,6 +375,33 @@
 	})
 })
 
+var _ = ginkgo.Describe("a batch call under which targets crash", func() {
+	for crashes := 2; crashes <= 5; crashes++ {
+		ginkgo.It(fmt.Sprintf("is placed again after %d crashes in turn, here and at a gateway that got the strikes", crashes), func() {
+			here, other := newFixture(crashingTargets(crashes)...), newFixture(newTarget(streamAll))
+			for range crashes {
+				here.serveBatch()
+				strike := here.receiveStrike()
+				other.list.Add(strike)
+				other.list.Add(blame.Strike{Fingerprint: fingerprint, Target: strike.Target})
+			}
+			for _, gateway := range []*fixture{here, other} {
+				result, sink := gateway.serveBatch()
+				expectAnswer(result, sink, http.StatusOK, series(1, 6))
+			}
+		})
+	}
+	ginkgo.It("leaves an online call with the same body alone", func() {
+		fixture := newFixture(crashingTargets(2)...)
+		for range 2 {
+			fixture.serveBatch()
+			fixture.receiveStrike()
+		}
+		result, sink := fixture.serve(stream())
+		expectAnswer(result, sink, http.StatusOK, series(1, 6))
+	})
+})
+
 var _ = ginkgo.Describe("a batch call", func() {
 	ginkgo.It("that a target rejects ends, to be retried by its job, rather than wait for another target", func() {
 		fixture := newFixture(newTarget(reject))
--- a/internal/gate/relay/target_test.go
+++ b/internal/gate/relay/target_test.go
@@ -98,6 +98,24 @@
 	return target
 }
 
+// newCrashingTarget returns a target that goes down when it gets a request.
+func newCrashingTarget() (crashing *target) {
+	crashing = newTarget(func(*exchange) bool {
+		_ = crashing.listener.Close()
+		return false
+	})
+	return crashing
+}
+
+// crashingTargets returns a number of targets that go down when they get a request, and
+// a sound one, which is tried last.
+func crashingTargets(count int) (targets []*target) {
+	for range count {
+		targets = append(targets, newCrashingTarget())
+	}
+	return append(targets, newTarget(streamAll))
+}
+
 func (target *target) serve() {
 	for {
 		conn, err := target.listener.Accept()
--- a/internal/route/blame/blame.go
+++ b/internal/route/blame/blame.go
@@ -6,6 +6,11 @@
 // time, so a second loss identifies the harmful request. After two strikes, with
 // different targets, a request is refused for a time. When several targets go down
 // together, a common cause such as a rack is assumed and the strikes don't count.
+//
+// Batch calls are items that callers have handed in for later, which never take down
+// targets by themselves: those that crash get no strike and are never refused, so that
+// an item that was unlucky several times is still run. Their losses count only towards
+// a common cause.
 package blame
 
 import (
@@ -27,11 +32,14 @@
 	strikeLife = 10 * time.Minute
 	// refuseTime is how long a harmful request is refused.
 	refuseTime = 10 * time.Minute
+	// blameless is the fingerprint of a call that gets no strikes.
+	blameless = 0
 	// maxRecords bounds the requests with strikes that are kept.
 	maxRecords = 100_000
 )
 
-// Strike reports that a target went down with a request in flight.
+// Strike reports that a target went down with a request in flight. If the fingerprint
+// is 0, the loss is not the request's fault.
 type Strike struct {
 	Fingerprint uint64
 	Target      string
@@ -64,6 +72,31 @@
 	return &List{clock: clock, records: make(map[uint64]*record)}
 }
 
+// blamed returns the fingerprint by which losses are attributed to the call.
+func blamed(call *agatestage.Call) uint64 {
+	if call.Batch {
+		return blameless
+	}
+	return call.Fingerprint
+}
+
+// Admit returns a refusal if the call is harmful. It updates whether the call is a
+// suspect.
+func (list *List) Admit(call *agatestage.Call) error {
+	fingerprint := blamed(call)
+	err := list.Refuse(fingerprint)
+	call.Suspect = list.Suspect(fingerprint)
+	return err
+}
+
+// Charge records that a target was lost while it ran the call. It returns the strike
+// that is to be reported to the others.
+func (list *List) Charge(call *agatestage.Call, target string) Strike {
+	strike := Strike{Fingerprint: blamed(call), Target: target}
+	list.Add(strike)
+	return strike
+}
+
 // Add records a strike.
 func (list *List) Add(strike Strike) {
 	list.mutex.Lock()
@@ -72,6 +105,9 @@
 	list.expire(now)
 	at := now.Add(-strike.Age)
 	list.recordLoss(strike.Target, at)
+	if strike.Fingerprint == blameless {
+		return
+	}
 	found := list.records[strike.Fingerprint]
 	if found == nil {
 		if len(list.records) >= maxRecords {
--- a/internal/route/blame/blame_test.go
+++ b/internal/route/blame/blame_test.go
@@ -6,6 +6,8 @@
 
 	"github.com/onsi/gomega"
 	clocks "k8s.io/utils/clock/testing"
+
+	"github.com/agatestage/agatestage"
 )
 
 func newList() (*List, *clocks.FakeClock) {
@@ -38,3 +40,36 @@
 	expect.Expect(list.Refuse(1)).To(gomega.Succeed())
 	expect.Expect(list.Suspect(2)).To(gomega.BeFalse())
 }
+
+func TestBatchCallsAreNeverRefusedOrBlamed(t *testing.T) {
+	expect := gomega.NewWithT(t)
+	list, clock := newList()
+	item, online := &agatestage.Call{Fingerprint: 1, Batch: true}, &agatestage.Call{Fingerprint: 1}
+	for _, target := range []string{"a", "b", "c", "d"} {
+		expect.Expect(list.Admit(item)).To(gomega.Succeed())
+		list.Charge(item, target)
+		clock.Step(commonWindow)
+	}
+	expect.Expect(list.Admit(online)).To(gomega.Succeed())
+	expect.Expect(item.Suspect || online.Suspect).To(gomega.BeFalse())
+	list.Charge(online, "e")
+	clock.Step(commonWindow)
+	list.Charge(online, "f")
+	expect.Expect(list.Admit(online)).NotTo(gomega.Succeed())
+	expect.Expect(list.Admit(item)).To(gomega.Succeed())
+}
+
+func TestLossesOfBatchCallsShowACommonCause(t *testing.T) {
+	expect := gomega.NewWithT(t)
+	list, _ := newList()
+	other, _ := newList()
+	online := &agatestage.Call{Fingerprint: 1}
+	list.Charge(online, "a")
+	expect.Expect(list.Suspect(1)).To(gomega.BeTrue())
+	other.Charge(online, "a")
+	for _, target := range []string{"b", "c"} {
+		other.Add(list.Charge(&agatestage.Call{Fingerprint: 2, Batch: true}, target))
+	}
+	expect.Expect(list.Suspect(1)).To(gomega.BeFalse())
+	expect.Expect(other.Suspect(1)).To(gomega.BeFalse())
+}
