side/slots: a suspect call that leaves the queue frees its place

Callers saw 'Busy: the target runs another call that is under suspicion' from a target that ran none: a suspect call that waited for a slot until its time was up left the pool's suspect flag set, so that no suspect call ran there again, nor a batch item with a strike, which the side returned each 2 s without end.

Evidence: 'go test ./internal/side/slots' failed before in 'admits suspect calls after one left the queue without a slot' (Busy: the target runs another call that is under suspicion).

--- a/internal/side/slots/pool.go
+++ b/internal/side/slots/pool.go
@@ -101,7 +101,7 @@
 		return ticket, nil
 	case <-ctx.Done():
 	}
-	if pool.removeWaiter(waiter) {
+	if pool.removeWaiter(waiter, ticket.suspect) {
 		return nil, agatestage.Refuse(agatestage.CodeDeadline, "no slot became free in time")
 	}
 	// The slot was assigned concurrently with the cancellation: release it.
@@ -202,14 +202,15 @@
 	return agatestage.Load{Online: pool.online, Batch: len(pool.batch), Waiting: len(pool.waiters), Slots: pool.slots}
 }
 
-// removeWaiter removes a waiter from the queue. It returns false if the waiter has
-// already got a slot.
-func (pool *Pool) removeWaiter(waiter *waiter) bool {
+// removeWaiter removes a waiter, whose call may be a suspect, from the queue. It returns
+// false if the waiter has already got a slot.
+func (pool *Pool) removeWaiter(waiter *waiter, suspect bool) bool {
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
 	for i := range pool.waiters {
 		if pool.waiters[i] == waiter {
 			pool.waiters = append(pool.waiters[:i], pool.waiters[i+1:]...)
+			pool.suspect = pool.suspect && !suspect
 			return true
 		}
 	}
--- a/internal/side/slots/pool_test.go
+++ b/internal/side/slots/pool_test.go
@@ -20,6 +20,8 @@
 var (
 	online = &agatestage.Call{}
 	batch  = &agatestage.Call{Batch: true}
+	// suspect is an online call that has a strike.
+	suspect = &agatestage.Call{Suspect: true}
 )
 
 var _ = ginkgo.Describe("a pool of slots", func() {
@@ -46,6 +48,18 @@
 		gomega.Expect(refusal.Ran).To(gomega.Equal(agatestage.RanNo))
 	}
 
+	ginkgo.It("admits suspect calls after one left the queue without a slot", func() {
+		running := enter(online)
+		enter(online)
+		ended, cancel := context.WithCancel(ctx)
+		cancel()
+		_, err := pool.Acquire(ended, suspect)
+		gomega.Expect(err).To(gomega.HaveOccurred())
+		running.Release()
+		enter(suspect)
+		expectRefused(suspect, agatestage.CodeBusy)
+	})
+
 	ginkgo.It("preempts the batch call that was admitted last for an online call", func() {
 		first, second := enter(batch), enter(batch)
 		enter(online)
