batch/owner: an item under which targets crash is placed again

Before that it was sent as a suspect, which a target refuses while another one runs there.

A lost target now counts neither as a failure nor against the item; 4 answers of 500 still end it. Items aren't sent as suspects. Looked through without a find: entry/peers (passes strikes on), batch/claims (requeues what a side holds when the exchange ends), side/claim and side/exec (a call that found no slot, or was preempted, is returned).

--- a/internal/batch/owner/input.go
+++ b/internal/batch/owner/input.go
@@ -115,7 +115,6 @@
 		Timeout:      itemTimeout,
 		Idempotent:   true,
 		Batch:        true,
-		Suspect:      job.suspect(item.Number),
 		Fingerprint:  xxhash.Sum64(item.Line),
 		Prefix:       xxhash.Sum64(request.Body[:min(len(request.Body), prefixBytes)]),
 	}
--- a/internal/batch/owner/job.go
+++ b/internal/batch/owner/job.go
@@ -30,11 +30,9 @@
 	// is read.
 	readAheadItems = 256
 	// maxAttempts bounds the failed attempts of an item. Attempts that were
-	// returned, for example because they gave way to online calls, don't count.
+	// returned, for example because they gave way to online calls, don't count, nor
+	// do those whose target went down.
 	maxAttempts = 4
-	// maxLostTargets is the number of targets that must go down while running an
-	// item for the item to fail.
-	maxLostTargets = 2
 	// maxGroupDelay and maxGroupLines bound a group of results by time and size.
 	maxGroupDelay = 20 * time.Millisecond
 	maxGroupLines = 512
@@ -70,10 +68,8 @@
 	nextBlock int
 	ready     []Item
 	inflight  map[int]Item
-	// attempts counts the failed attempts of each item; lostTargets holds the
-	// targets that went down while running it.
-	attempts    map[int]int
-	lostTargets map[int]map[string]bool
+	// attempts counts the failed attempts of each item.
+	attempts map[int]int
 	// done has a bit for each item with a result; doneCount is the number of set
 	// bits, failed the number of failed results among them.
 	done      *bitset.BitSet
@@ -101,7 +97,7 @@
 	items := uint(entry.Head.Items)
 	return &Job{
 		sites: manager.sites, registry: manager.registry, clock: manager.clock, epoch: entry.Head.Epoch, entry: entry,
-		inflight: make(map[int]Item), attempts: make(map[int]int), lostTargets: make(map[int]map[string]bool), unacknowledged: make(map[int]bool),
+		inflight: make(map[int]Item), attempts: make(map[int]int), unacknowledged: make(map[int]bool),
 		done: bitset.New(items), finished: make(chan struct{}),
 		wake: make(chan struct{}, 1), refill: make(chan struct{}, 1),
 		changed: manager.Changed, revoke: manager.Revoke,
@@ -223,7 +219,6 @@
 	}
 	delete(job.inflight, number)
 	delete(job.attempts, number)
-	delete(job.lostTargets, number)
 	job.unacknowledged[number] = true
 	job.buffer = append(job.buffer, resultLine(job.entry.Head.ID, item, outcome))
 	job.mutex.Unlock()
@@ -233,18 +228,10 @@
 // shouldRetry counts a failed attempt and reports whether the item should be
 // retried; the mutex is held.
 func (job *Job) shouldRetry(number int, outcome calls.ItemResult) bool {
-	if outcome.Returned {
+	// Items never take down targets by themselves.
+	if outcome.Returned || outcome.TargetLost {
 		return true
 	}
-	if outcome.TargetLost {
-		if job.lostTargets[number] == nil {
-			job.lostTargets[number] = make(map[string]bool)
-		}
-		job.lostTargets[number][outcome.Target] = true
-		if len(job.lostTargets[number]) >= maxLostTargets {
-			return false
-		}
-	}
 	if !transient(outcome) {
 		return false
 	}
@@ -260,12 +247,6 @@
 	return outcome.Status >= 500 || outcome.Status == 429 || outcome.Status == 408
 }
 
-// suspect reports whether a target went down while running the item; the mutex is
-// held.
-func (job *Job) suspect(number int) bool {
-	return len(job.lostTargets[number]) > 0
-}
-
 // Run reads items and writes results until the job has ended, another entry owns
 // it or ctx ends.
 func (job *Job) Run(ctx context.Context) {
