gate/batch: a page shorter than the gateway knows of is logged, and pages are counted by source

Logged is what was shown and what the cached head counted, at most once a second; each page is counted by its source. No logic changes.

--- a/internal/gate/batch/access.go
+++ b/internal/gate/batch/access.go
@@ -46,8 +46,7 @@
 	if !ok {
 		return versionedHead{}, false
 	}
-	observed, _, err := manager.cacheAnswer(versionedHead{Head: answer.Head, version: answer.Version}, nil, answer)
-	return observed, err == nil
+	return manager.cacheAnswer(nil, answer).versionedHead, true
 }
 
 // findHead returns the head of an organisation's job: if it isn't cached, from the job's
--- a/internal/gate/batch/manager.go
+++ b/internal/gate/batch/manager.go
@@ -98,6 +98,8 @@
 	// this one has to announce.
 	owners   map[string]announcedOwner
 	ownNotes []ownNote
+	// shortPageAt is when a short page was last logged.
+	shortPageAt time.Time
 	// meanItemTime and meanItemEvents are exponential moving averages of the time for
 	// which an item needs a slot and of the number of its events.
 	meanItemTime   time.Duration
--- a/internal/gate/batch/results.go
+++ b/internal/gate/batch/results.go
@@ -107,24 +107,23 @@
 	manager.mutex.Lock()
 	job, changed := manager.jobs[id], (<-chan struct{})(manager.changed)
 	manager.mutex.Unlock()
-	var results []Result
+	shown := listing{source: sourceOwn}
 	if job != nil {
-		var observed versionedHead
-		if observed, results, changed = job.snapshot(); observed.Instance == manager.instance && observed.Epoch >= head.Epoch {
-			head = observed
-		} else {
+		shown.versionedHead, shown.results, changed = job.snapshot()
+		if shown.Instance != manager.instance || shown.Epoch < head.Epoch {
 			job = nil
 		}
 	}
 	if job == nil {
-		if head, results, err = manager.remoteResults(ctx, head, offset); err != nil {
+		if shown, err = manager.remoteResults(ctx, head, offset); err != nil {
 			return Page{}, nil, err
 		}
 	}
-	if !head.Open() {
+	manager.recordPage(shown)
+	if !shown.Open() {
 		changed = nil
 	}
-	return buildPage(head.Head, results, offset), changed, nil
+	return buildPage(shown.Head, shown.results, offset), changed, nil
 }
 
 // maxPageBytes bounds the results of one page, which has at least one result.
@@ -146,7 +145,7 @@
 
 // remoteResults returns the results of a job that this gateway doesn't own: from the
 // cache, else from the job's owner, else from the store.
-func (manager *Manager) remoteResults(ctx context.Context, head versionedHead, offset int) (versionedHead, []Result, error) {
+func (manager *Manager) remoteResults(ctx context.Context, head versionedHead, offset int) (listing, error) {
 	manager.mutex.Lock()
 	cached := manager.snapshot(head.ID)
 	results, chunks := cached.results, cached.chunks
@@ -155,20 +154,20 @@
 	// The cache must hold all results that the head counts, so that a caller that reads
 	// from the beginning again gets them all.
 	if len(results) >= head.Results && (len(results) > offset || !head.Open()) {
-		return head, results, nil
+		return listing{versionedHead: head, results: results, source: sourceCache}, nil
 	}
 	if head.Owner != "" && head.Owner != manager.name {
 		if answer, ok := manager.peers.QueryJob(ctx, head.Owner, head.ID, len(results)); ok && answer.Head.Results >= len(results) {
-			return manager.cacheAnswer(head, results, answer)
+			return manager.cacheAnswer(results, answer), nil
 		}
 	}
 	observed, more, err := manager.readNewResults(ctx, head, chunks, fresh)
 	if err != nil && len(results) > offset {
 		klog.InfoS("store unavailable; results answered from the cache", "job", head.ID, "results", len(results), "of", head.Results, "error", err.Error())
-		return head, results, nil
+		return listing{versionedHead: head, results: results, source: sourceCache}, nil
 	}
 	if err != nil {
-		return head, nil, storeRefusal("the job's results can't be looked up now", err)
+		return listing{}, storeRefusal("the job's results can't be looked up now", err)
 	}
 	head = observed
 	manager.mutex.Lock()
@@ -177,7 +176,7 @@
 	if cached.chunks == chunks {
 		cached.results, cached.chunks = append(results[:len(results):len(results)], more...), head.Chunks
 	}
-	return head, cached.results, nil
+	return listing{versionedHead: head, results: cached.results, source: sourceStore}, nil
 }
 
 // readNewResults reads the chunks of results from a chunk on from the store. It first
@@ -193,18 +192,17 @@
 	return head, more, err
 }
 
-// cacheAnswer caches the answer of a job's owner and returns the job's head and
-// results.
-func (manager *Manager) cacheAnswer(head versionedHead, known []Result, answer Answer) (versionedHead, []Result, error) {
+// cacheAnswer caches the answer of a job's owner to a query after the known results.
+func (manager *Manager) cacheAnswer(known []Result, answer Answer) listing {
 	results := append(known[:len(known):len(known)], answer.Results...)
 	observed := versionedHead{Head: answer.Head, version: answer.Version}
 	manager.mutex.Lock()
 	defer manager.mutex.Unlock()
 	manager.cacheHeadLocked(observed)
-	if cached := manager.snapshot(head.ID); len(cached.results) < len(results) && len(results) == answer.Head.Results {
+	if cached := manager.snapshot(observed.ID); len(cached.results) < len(results) && len(results) == answer.Head.Results {
 		cached.results, cached.chunks = results, answer.Head.Chunks
 	}
-	return observed, results, nil
+	return listing{versionedHead: observed, results: results, source: sourceOwner}
 }
 
 // snapshot returns the cached snapshot of a job and creates it if needed; the mutex must
