gate/batch: an owner answers for a job only while nobody can have taken it over

A job is taken over only after the lease of its owner has ended (or its process). So an owner relies on a job as long as the lease holds under which the store last confirmed the job's head: a write of the head that succeeded, a read of it, or the head's arrival with the job. With another lease it reads the head again, once a job and lease, within a scan's period (300 ms), and stops if it has been replaced. Meanwhile it is no source: its readers go to the store, and so do its own callers. No call to the store is added while leases are renewed. If the store is out for all, nobody can take over: an owner whose lease held when the outage began answers from memory as long as it hears other gateways and none of them hears the store. If only some gateways have lost the store, such an owner shows what it has and refuses (503) what lies beyond.

Weighed: confirming each job's head by time (a read for each job and period at quiet times); a longer silence before take-overs (jobs wait longer, and a freeze may be longer still); only rejecting answers older than what the reader has seen (it may have seen nothing).

--- a/internal/gate/batch/fixture_test.go
+++ b/internal/gate/batch/fixture_test.go
@@ -98,6 +98,9 @@
 	outage time.Duration
 	// notWatching says that the gateway doesn't follow the heads.
 	notWatching bool
+	// lease is the gateway's lease, leaseEnd when it ends, if it does.
+	lease    agatestage.Lease
+	leaseEnd time.Time
 }
 
 func (fakeFleet *fakeFleet) Alive() []batch.Gateway {
@@ -121,6 +124,27 @@
 	return !fakeFleet.notWatching
 }
 
+// Lease implements batch.Fleet.
+func (fakeFleet *fakeFleet) Lease() (agatestage.Lease, time.Time) {
+	fakeFleet.mutex.Lock()
+	defer fakeFleet.mutex.Unlock()
+	if fakeFleet.leaseEnd.IsZero() {
+		return "lease-" + fakeFleet.lease, time.Now().Add(time.Hour)
+	}
+	return "lease-" + fakeFleet.lease, fakeFleet.leaseEnd
+}
+
+// setLease gives the gateway another lease or, if it is "", lets the lease end.
+func (fakeFleet *fakeFleet) setLease(lease agatestage.Lease) {
+	fakeFleet.mutex.Lock()
+	defer fakeFleet.mutex.Unlock()
+	if lease == "" {
+		fakeFleet.leaseEnd = time.Now()
+		return
+	}
+	fakeFleet.lease, fakeFleet.leaseEnd = lease, time.Time{}
+}
+
 func (fakeFleet *fakeFleet) StoreOutage() time.Duration {
 	fakeFleet.mutex.Lock()
 	defer fakeFleet.mutex.Unlock()
--- a/internal/gate/batch/job.go
+++ b/internal/gate/batch/job.go
@@ -5,6 +5,7 @@
 	"maps"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -64,11 +65,14 @@
 	startedAt time.Time
 	// savedEvents is the number of events of unfinished items in the store.
 	savedEvents int64
+	// lease is the lease of this gateway under which the store last confirmed the head.
+	lease      agatestage.Lease
+	confirming atomic.Bool
 }
 
-func newJob(manager *Manager, owned versionedHead, items []Item, stored []Result) *job {
+func newJob(manager *Manager, owned versionedHead, lease agatestage.Lease, items []Item, stored []Result) *job {
 	job := &job{
-		manager: manager, head: owned.Head, versionedHead: owned, items: items, stored: stored, completed: make(map[string]bool), failureCounts: make(map[string]int), sinks: make(map[string]*collector),
+		manager: manager, head: owned.Head, versionedHead: owned, lease: lease, items: items, stored: stored, completed: make(map[string]bool), failureCounts: make(map[string]int), sinks: make(map[string]*collector),
 		changed: make(chan struct{}), wake: make(chan struct{}, 1), terminated: make(chan struct{}),
 		startedAt: manager.clock.Now(),
 	}
@@ -237,12 +241,13 @@
 	if head.Results >= head.Items {
 		head.State = StateDone
 	}
+	lease := job.manager.currentLease()
 	var written versionedHead
 	if written, err = job.manager.jobStore.writeHead(ctx, before, head, writes...); err != nil {
 		return err
 	}
 	job.manager.cacheHead(written)
-	job.markStored(written, pending, countEvents(progress))
+	job.markStored(written, lease, pending, countEvents(progress))
 	message := "results listed"
 	if len(pending) == 0 {
 		message = "progress saved"
@@ -251,12 +256,12 @@
 	return nil
 }
 
-// markStored moves results that have been written from pending to stored, and
-// records how many events of unfinished items were written with them.
-func (job *job) markStored(written versionedHead, results []Result, savedEvents int64) {
+// markStored moves results that have been written under a lease from pending to stored,
+// and records how many events of unfinished items were written with them.
+func (job *job) markStored(written versionedHead, lease agatestage.Lease, results []Result, savedEvents int64) {
 	job.mutex.Lock()
 	defer job.mutex.Unlock()
-	job.versionedHead, job.savedEvents = written, savedEvents
+	job.versionedHead, job.lease, job.savedEvents = written, lease, savedEvents
 	if len(results) == 0 {
 		return
 	}
--- /dev/null
+++ b/internal/gate/batch/ownership.go
@@ -0,0 +1,124 @@
+package batch
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+	"k8s.io/klog/v2"
+
+	"github.com/agatestage/agatestage"
+)
+
+// outageNoticeTime is how long it may take until a gateway notices that the store is out:
+// two renewals of its lease, of which the first may take up to its time-out.
+const outageNoticeTime = 2 * time.Second
+
+// currentLease returns this gateway's lease, or "" if it has none or may not rely on it.
+func (manager *Manager) currentLease() agatestage.Lease {
+	lease, until := manager.fleet.Lease()
+	if !manager.clock.Now().Before(until) {
+		return ""
+	}
+	return lease
+}
+
+// cannotBeTakenOver reports whether no gateway can have taken over a job whose head the
+// store confirmed under a lease: because that lease holds, or because it held when the
+// store went out for all gateways.
+func (manager *Manager) cannotBeTakenOver(confirmed agatestage.Lease) bool {
+	lease, until := manager.fleet.Lease()
+	if confirmed == "" || lease != confirmed {
+		return false
+	}
+	now := manager.clock.Now()
+	if now.Before(until) {
+		return true
+	}
+	outage := manager.fleet.StoreOutage()
+	return outage > 0 && !now.Add(-outage).After(until.Add(outageNoticeTime)) && manager.noneHearsStore()
+}
+
+// noneHearsStore reports whether other gateways are alive of which none reaches the store.
+func (manager *Manager) noneHearsStore() bool {
+	others := 0
+	for _, gateway := range manager.fleet.Alive() {
+		if gateway.Name == manager.name {
+			continue
+		}
+		if gateway.Hears {
+			return false
+		}
+		others++
+	}
+	return others > 0
+}
+
+// isOwned reports whether what this gateway knows of the job is certainly all that there
+// is, as the job has ended or nobody else can have taken it over. Known is the newest head
+// that this gateway has seen.
+func (job *job) isOwned(known versionedHead) bool {
+	job.mutex.Lock()
+	confirmed, observed, stopped := job.lease, job.versionedHead, job.stopped
+	job.mutex.Unlock()
+	if !observed.Open() {
+		return true
+	}
+	return !stopped && known.Epoch <= observed.Epoch && job.manager.cannotBeTakenOver(confirmed)
+}
+
+// confirmOwned has the store confirm the heads of the jobs that may have been taken over
+// while this gateway had no lease.
+func (manager *Manager) confirmOwned(ctx context.Context) {
+	if manager.currentLease() == "" {
+		return
+	}
+	manager.mutex.Lock()
+	var doubtful []*job
+	for id, owned := range manager.jobs {
+		if !owned.hasTerminated() && !owned.isOwned(manager.heads[id]) {
+			doubtful = append(doubtful, owned)
+		}
+	}
+	manager.mutex.Unlock()
+	for _, owned := range doubtful {
+		if owned.confirming.CompareAndSwap(false, true) {
+			go owned.confirm(ctx)
+		}
+	}
+}
+
+// confirm reads the job's head and stops the job if another gateway has taken it over.
+func (job *job) confirm(ctx context.Context) {
+	defer job.confirming.Store(false)
+	lease := job.manager.currentLease()
+	observed, err := job.manager.jobStore.head(ctx, job.head.ID)
+	if err != nil {
+		klog.InfoS("ownership of a job not confirmed", "job", job.head.ID, "error", err.Error())
+		if errors.Is(err, agatestage.ErrNotFound) {
+			job.stop()
+		}
+		return
+	}
+	job.manager.cacheHead(observed)
+	if !job.updateHead(observed) {
+		klog.InfoS("job is no longer run here", "job", job.head.ID, "epoch", observed.Epoch, "owner", observed.Owner)
+		job.stop()
+		return
+	}
+	job.mutex.Lock()
+	defer job.mutex.Unlock()
+	if observed.version == job.versionedHead.version {
+		job.lease = lease
+	}
+}
+
+// ownListing returns what is known of a job that runs here while another gateway may have
+// taken it over and the store can't be asked.
+func (job *job) ownListing(offset int) (listing, error) {
+	observed, results, _ := job.snapshot()
+	if len(results) <= offset && observed.Open() {
+		return listing{}, storeRefusal("the job's results can't be looked up now", errors.New("another gateway may run the job"))
+	}
+	return listing{versionedHead: observed, results: results, source: sourceOwn}, nil
+}
--- a/internal/gate/batch/results.go
+++ b/internal/gate/batch/results.go
@@ -108,16 +108,16 @@
 	job, changed := manager.jobs[id], (<-chan struct{})(manager.changed)
 	manager.mutex.Unlock()
 	shown := listing{source: sourceOwn}
-	if job != nil {
+	switch owned := job != nil && job.isOwned(head); {
+	case owned:
 		shown.versionedHead, shown.results, changed = job.snapshot()
-		if shown.Instance != manager.instance || shown.Epoch < head.Epoch {
-			job = nil
-		}
+	case job != nil && manager.fleet.StoreOutage() > 0:
+		shown, err = job.ownListing(offset)
+	default:
+		shown, err = manager.remoteResults(ctx, head, offset)
 	}
-	if job == nil {
-		if shown, err = manager.remoteResults(ctx, head, offset); err != nil {
-			return Page{}, nil, err
-		}
+	if err != nil {
+		return Page{}, nil, err
 	}
 	manager.recordPage(shown)
 	if !shown.Open() {
@@ -149,7 +149,7 @@
 	manager.mutex.Lock()
 	cached := manager.snapshot(head.ID)
 	results, chunks := cached.results, cached.chunks
-	fresh := manager.clock.Since(manager.headsConfirmedAt) < headFreshFor
+	fresh := manager.clock.Since(manager.headsConfirmedAt) < headFreshFor && head.Owner != manager.name
 	manager.mutex.Unlock()
 	// The cache must hold all results that the head counts, so that a caller that reads
 	// from the beginning again gets them all.
@@ -219,8 +219,8 @@
 	return cached
 }
 
-// AnswerQuery answers another gateway's QueryJob for a job that runs here, or ran
-// here until it ended.
+// AnswerQuery answers another gateway's QueryJob for a job that certainly runs here, or
+// ran here until it ended.
 func (manager *Manager) AnswerQuery(id string, offset int) (Answer, bool) {
 	manager.mutex.Lock()
 	job, observed := manager.jobs[id], manager.heads[id]
@@ -230,6 +230,8 @@
 	}
 	manager.mutex.Unlock()
 	switch {
+	case job != nil && !job.isOwned(observed):
+		return Answer{}, false
 	case job != nil:
 		observed, results, _ = job.snapshot()
 	case observed.Owner != manager.name || observed.Open() || len(results) != observed.Results:
--- a/internal/gate/batch/submit.go
+++ b/internal/gate/batch/submit.go
@@ -94,10 +94,11 @@
 	for i, part := range parts {
 		writes = append(writes, agatestage.Write{Key: inputKey(spec.ID, i), Value: part})
 	}
+	lease := manager.currentLease()
 	accepted, err := manager.jobStore.writeHead(ctx, versionedHead{}, head, writes...)
 	switch {
 	case err == nil:
-		manager.startAccepted(ctx, accepted, spec)
+		manager.startAccepted(ctx, accepted, lease, spec)
 		return nil
 	case errors.Is(err, errHeadChanged):
 		return manager.checkResubmission(ctx, spec, digest)
@@ -110,7 +111,7 @@
 
 // startAccepted starts a job that has just been written, or notifies its owner. A job
 // that was written just before this gateway began to drain is handed over at once.
-func (manager *Manager) startAccepted(ctx context.Context, accepted versionedHead, spec Spec) {
+func (manager *Manager) startAccepted(ctx context.Context, accepted versionedHead, lease agatestage.Lease, spec Spec) {
 	klog.InfoS("job accepted", "job", spec.ID, "organisation", spec.Organisation, "route", spec.Route.Name, "items", len(spec.Items),
 		"owner", accepted.Owner, "version", accepted.version)
 	manager.mutex.Lock()
@@ -120,7 +121,7 @@
 	if !own || draining {
 		manager.snapshot(spec.ID).items = spec.Items
 	} else if manager.jobs[spec.ID] == nil {
-		manager.startJobLocked(accepted, spec.Items, nil, nil)
+		manager.startJobLocked(accepted, lease, spec.Items, nil, nil)
 	}
 	manager.mutex.Unlock()
 	switch {
--- a/internal/gate/batch/takeover.go
+++ b/internal/gate/batch/takeover.go
@@ -8,6 +8,8 @@
 
 	"github.com/pkg/errors"
 	"k8s.io/klog/v2"
+
+	"github.com/agatestage/agatestage"
 )
 
 const (
@@ -37,6 +39,7 @@
 	if manager.fleet.StoreOutage() > 0 {
 		return
 	}
+	manager.confirmOwned(ctx)
 	alive, watching, now := manager.fleet.Alive(), manager.fleet.Watching(), manager.clock.Now()
 	manager.mutex.Lock()
 	var orphans []versionedHead
@@ -174,6 +177,7 @@
 // the job.
 func (manager *Manager) takeOver(ctx context.Context, orphan versionedHead) {
 	defer manager.taken(orphan.ID)
+	lease := manager.currentLease()
 	var taken versionedHead
 	var err error
 	if manager.ownedByProcess(orphan.Head) {
@@ -218,7 +222,7 @@
 	}
 	manager.noteOwner(head)
 	klog.InfoS("job taken over", "job", head.ID, "from", orphan.Owner, "epoch", head.Epoch, "results", head.Results, "items", head.Items, "begun", len(progress))
-	manager.startJobLocked(taken, items, stored, progress)
+	manager.startJobLocked(taken, lease, items, stored, progress)
 }
 
 // taken ends the claim on a job, so that it may be taken over or moved again.
@@ -253,12 +257,13 @@
 		klog.ErrorS(err, "job head from another gateway can't be decoded", "key", handover.Record.Key)
 		return
 	}
+	lease := manager.currentLease()
 	manager.mutex.Lock()
 	job := manager.cacheHeadLocked(observed)
 	newest := manager.heads[observed.ID].version == observed.version
 	if handover.Whole && newest && observed.Open() && manager.ownedByProcess(observed.Head) && job == nil && !manager.claimed[observed.ID] && !manager.draining {
 		klog.InfoS("job handed over to this gateway", "job", observed.ID, "epoch", observed.Epoch, "results", observed.Results, "items", observed.Items, "begun", len(handover.Progress))
-		manager.startJobLocked(observed, handover.Items, handover.Results, handover.Progress)
+		manager.startJobLocked(observed, lease, handover.Items, handover.Results, handover.Progress)
 	}
 	takeOver := handover.TakeOver && newest && observed.Open() && job == nil && !manager.claimed[observed.ID] && !manager.draining
 	if takeOver {
@@ -274,9 +279,10 @@
 	}
 }
 
-// startJobLocked runs a job that this gateway owns; the mutex must be held.
-func (manager *Manager) startJobLocked(owned versionedHead, items []Item, stored []Result, progress []Progress) {
-	job := newJob(manager, owned, items, stored)
+// startJobLocked runs a job that this gateway owns by a head that was read or written under
+// a lease; the mutex must be held.
+func (manager *Manager) startJobLocked(owned versionedHead, lease agatestage.Lease, items []Item, stored []Result, progress []Progress) {
+	job := newJob(manager, owned, lease, items, stored)
 	job.restoreProgress(progress)
 	manager.jobs[owned.ID] = job
 	job.start()
--- a/internal/gate/start/clusterview.go
+++ b/internal/gate/start/clusterview.go
@@ -17,6 +17,7 @@
 	"github.com/agatestage/agatestage/internal/gate/sched"
 	"github.com/agatestage/agatestage/internal/limit/tally"
 	"github.com/agatestage/agatestage/internal/route/blame"
+	"github.com/agatestage/agatestage/internal/state/member"
 )
 
 // relistTimeout bounds the reading of the list of targets, which has several pages in
@@ -34,6 +35,7 @@
 	targets     *feeds.Targets
 	blame       *blame.List
 	mesh        *gossip.Mesh
+	roster      *member.Roster
 	limits      *tally.Tally
 	jobs        *batch.Manager
 	self        string
@@ -187,6 +189,13 @@
 	return gateways
 }
 
+// Lease implements batch.Fleet.
+func (clusterView *clusterView) Lease() (agatestage.Lease, time.Time) {
+	// Read in the other order, the time of a new lease could be taken for that of an old one.
+	until := clusterView.roster.Until()
+	return clusterView.roster.Lease(), until
+}
+
 // Gone implements batch.Fleet.
 func (clusterView *clusterView) Gone(name, instance string) bool {
 	return clusterView.mesh.Gone(name, instance)
--- a/internal/gate/start/wire.go
+++ b/internal/gate/start/wire.go
@@ -105,6 +105,7 @@
 func provideScheduler(clusterView *clusterView) *sched.Scheduler { return clusterView.Scheduler }
 
 func newMesh(node *link.Node, roster *member.Roster, instance instance, clock agatestage.Clock, clusterView *clusterView) *gossip.Mesh {
+	clusterView.roster = roster
 	clusterView.mesh = gossip.New(node, roster, string(instance), clock, clusterView)
 	return clusterView.mesh
 }
