--- a/internal/gate/start/idle.go
+++ b/internal/gate/start/idle.go
@@ -6,6 +6,9 @@
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+	"k8s.io/klog/v2"
+
 	"github.com/agatestage/agatestage"
 )
 
@@ -16,10 +19,13 @@
 	mutex     sync.Mutex
 	limit     time.Duration
 	idleSince map[net.Conn]time.Time
+	// active holds the connections with a request, closed those that closeIdle closed
+	// and that the server still has.
+	active, closed map[net.Conn]bool
 }
 
 func newIdleTracker(clock agatestage.Clock) *idleTracker {
-	return &idleTracker{clock: clock, idleSince: make(map[net.Conn]time.Time)}
+	return &idleTracker{clock: clock, idleSince: make(map[net.Conn]time.Time), active: make(map[net.Conn]bool), closed: make(map[net.Conn]bool)}
 }
 
 // setLimit sets the idle limit; zero means none.
@@ -33,11 +39,32 @@
 func (tracker *idleTracker) trackState(conn net.Conn, state http.ConnState) {
 	tracker.mutex.Lock()
 	defer tracker.mutex.Unlock()
-	if state == http.StateIdle {
+	delete(tracker.idleSince, conn)
+	delete(tracker.active, conn)
+	switch state {
+	case http.StateIdle:
 		tracker.idleSince[conn] = tracker.clock.Now()
-		return
+	case http.StateActive:
+		tracker.active[conn] = true
+		if tracker.closed[conn] {
+			logUnanswered("idle limit", 1)
+		}
+	case http.StateClosed:
+		delete(tracker.closed, conn)
 	}
-	delete(tracker.idleSince, conn)
+}
+
+// running returns the number of connections with a request.
+func (tracker *idleTracker) running() int {
+	tracker.mutex.Lock()
+	defer tracker.mutex.Unlock()
+	return len(tracker.active)
+}
+
+// logUnanswered notes requests whose connections this process closes unanswered.
+func logUnanswered(why string, count int) {
+	metrics.GetOrCreateCounter(`agatestage_unanswered_requests_total{why="` + why + `"}`).Add(count)
+	klog.InfoS("requests unanswered", "why", why, "count", count)
 }
 
 // closeIdle closes the connections that have exceeded the limit.
@@ -51,6 +78,7 @@
 	for conn, idleSince := range tracker.idleSince {
 		if now.Sub(idleSince) > tracker.limit {
 			delete(tracker.idleSince, conn)
+			tracker.closed[conn] = true
 			_ = conn.Close()
 		}
 	}
--- a/internal/gate/start/start.go
+++ b/internal/gate/start/start.go
@@ -227,7 +227,7 @@
 	}()
 	ticks.Wait(ctx, gateway.clock, drain.Notice.Duration)
 	if err := gateway.caller.Shutdown(ctx); err != nil {
-		klog.InfoS("requests cut off at the drain limit", "error", err.Error())
+		logUnanswered("drain limit", gateway.idle.running())
 	}
 	select {
 	case <-jobs:
