base/inlet: a connection on which part of a request has been read is answered, not closed

What callers saw: around a planned stop, or at the idle limit of a kept connection, the connection ended without an answer though the request, or its first part, had been read.

Cause: net/http counts a connection as idle until the next request's whole header has been parsed. Server.Shutdown closes such connections, and its loop drops each request that it parses after that (`if c.server.shuttingDown() { return }` follows readRequest), new connections included. The check of idle connections (gate/start/idle.go) closed by the same state, so that a request parsed meanwhile ran at a target on a connection that was closed (the state hook comes after the parsing). On a host with a part of a core the window is as long as the process waits for its turn.

Change: package inlet, used by gateways and entries (callers, operators, metrics). The connection reads the socket itself and notes what it has read under a mutex; a close asks that note and whether anything waits in the socket, under the same mutex, so that no data are taken in between. A stop closes idle connections at once, answers the others with `Connection: close`, gives new connections half a second for their first request, and closes what is left at the limit, with its number in the log. Neither Shutdown nor SetKeepAlivesEnabled is used: both close by net/http's idea of idle.

Ruled out: a hook at StateActive (comes after the parsing), a longer notice (shortens no window), closing only the sending side (callers then wait for an answer that doesn't come).

--- /dev/null
+++ b/internal/base/inlet/conn.go
@@ -0,0 +1,146 @@
+package inlet
+
+import (
+	"io"
+	"math"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// forever is a time that doesn't pass.
+const forever time.Duration = math.MaxInt64
+
+// phase is what a connection is used for.
+type phase int
+
+const (
+	// fresh: nothing has been read yet.
+	fresh phase = iota
+	// busy: part of a request has been read, which isn't answered yet.
+	busy
+	// answered: the answer has been sent, and the server hasn't read on yet.
+	answered
+	// idle: the server waits for the next request.
+	idle
+	// closed: this process has closed it; nothing more is read from it.
+	closed
+)
+
+// conn is a caller's connection.
+type conn struct {
+	*net.TCPConn
+	raw    syscall.RawConn
+	server *Server
+	// mutex is held while data are taken from the socket, so that no close comes
+	// between the data and their note in phase.
+	mutex sync.Mutex
+	phase phase
+	// since is when the connection was accepted or became idle.
+	since time.Time
+}
+
+// Read implements net.Conn.
+func (conn *conn) Read(data []byte) (n int, err error) {
+	rawErr := conn.raw.Read(func(fd uintptr) (done bool) {
+		n, err, done = conn.take(int(fd), data)
+		return done
+	})
+	if err == io.EOF {
+		return 0, io.EOF
+	}
+	if rawErr != nil {
+		err = rawErr
+	}
+	if err != nil {
+		return 0, &net.OpError{Op: "read", Net: "tcp", Source: conn.LocalAddr(), Addr: conn.RemoteAddr(), Err: err}
+	}
+	return n, nil
+}
+
+// take reads what has arrived. It isn't done if there is nothing yet and more may come.
+func (conn *conn) take(fd int, data []byte) (n int, err error, done bool) {
+	conn.mutex.Lock()
+	defer conn.mutex.Unlock()
+	if conn.phase == closed {
+		return 0, net.ErrClosed, true
+	}
+	n, err = ignoringEINTR(func() (int, error) { return syscall.Read(fd, data) })
+	switch {
+	case errors.Is(err, syscall.EAGAIN):
+		if conn.phase == answered {
+			conn.phase, conn.since = idle, conn.server.clock.Now()
+		}
+		return 0, nil, false
+	case err != nil:
+		return 0, os.NewSyscallError("read", err), true
+	case n == 0 && len(data) > 0:
+		return 0, io.EOF, true
+	}
+	conn.phase = busy
+	return n, nil, true
+}
+
+// closeIdle closes the connection if it has been idle for longer than idleLimit, or new
+// for longer than freshLimit, and nothing of a request has arrived.
+func (conn *conn) closeIdle(idleLimit, freshLimit time.Duration) {
+	conn.mutex.Lock()
+	defer conn.mutex.Unlock()
+	passed := conn.server.clock.Since(conn.since)
+	if conn.phase == idle && passed >= idleLimit || conn.phase == fresh && passed >= freshLimit {
+		if !conn.quiet() {
+			return
+		}
+		conn.phase = closed
+		_ = conn.Close()
+	}
+}
+
+// quiet reports whether nothing of a request has arrived.
+func (conn *conn) quiet() bool {
+	var n int
+	var err error
+	var one [1]byte
+	if controlErr := conn.raw.Control(func(fd uintptr) {
+		n, err = ignoringEINTR(func() (int, error) {
+			n, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+			return n, err
+		})
+	}); controlErr != nil {
+		return true
+	}
+	return err != nil || n == 0
+}
+
+// Close implements net.Conn.
+func (conn *conn) Close() error {
+	conn.server.mutex.Lock()
+	delete(conn.server.conns, conn)
+	conn.server.mutex.Unlock()
+	return conn.TCPConn.Close()
+}
+
+// trackState implements http.Server.ConnState. An answer has been sent when its
+// connection becomes idle for the http.Server.
+func trackState(raw net.Conn, state http.ConnState) {
+	if conn, ok := raw.(*conn); ok && state == http.StateIdle {
+		conn.mutex.Lock()
+		defer conn.mutex.Unlock()
+		if conn.phase == busy {
+			conn.phase = answered
+		}
+	}
+}
+
+func ignoringEINTR(call func() (int, error)) (n int, err error) {
+	for {
+		if n, err = call(); !errors.Is(err, syscall.EINTR) {
+			return n, err
+		}
+	}
+}
--- /dev/null
+++ b/internal/base/inlet/inlet_test.go
@@ -0,0 +1,196 @@
+package inlet_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+	clocktest "k8s.io/utils/clock/testing"
+
+	"github.com/agatestage/agatestage"
+	"github.com/agatestage/agatestage/internal/base/inlet"
+)
+
+func TestInlet(t *testing.T) {
+	gomega.RegisterFailHandler(ginkgo.Fail)
+	ginkgo.RunSpecs(t, "callers' connections")
+}
+
+const (
+	idleLimit = time.Minute
+	request   = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+	half      = len(request) / 2
+)
+
+// fixture is a server whose handler waits for go-ahead if the path is /slow.
+type fixture struct {
+	*inlet.Server
+	clock   *clocktest.FakeClock
+	goAhead chan struct{}
+	started chan struct{}
+	stopped chan int
+}
+
+func newFixture(clock agatestage.Clock) *fixture {
+	listener, err := net.ListenTCP("tcp4", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	fixture := &fixture{goAhead: make(chan struct{}), started: make(chan struct{}, 1), stopped: make(chan int, 1)}
+	fixture.clock, _ = clock.(*clocktest.FakeClock)
+	fixture.Server = inlet.New("callers", &http.Server{Handler: http.HandlerFunc(fixture.serve)}, listener, clock)
+	fixture.SetIdleLimit(idleLimit)
+	done := make(chan error, 1)
+	go func() { done <- fixture.Serve(context.Background()) }()
+	ginkgo.DeferCleanup(func() {
+		_ = fixture.Close()
+		gomega.Eventually(done).Should(gomega.Receive())
+	})
+	return fixture
+}
+
+func (fixture *fixture) serve(writer http.ResponseWriter, request *http.Request) {
+	if request.URL.Path == "/slow" {
+		fixture.started <- struct{}{}
+		<-fixture.goAhead
+	}
+	_, _ = io.WriteString(writer, "answer")
+}
+
+// stop begins to stop the server and returns once it accepts no connections.
+func (fixture *fixture) stop(ctx context.Context) {
+	go func() { fixture.stopped <- fixture.Stop(ctx) }()
+	gomega.Eventually(func() error {
+		conn, err := net.Dial("tcp4", fixture.Addr().String())
+		if err == nil {
+			_ = conn.Close()
+		}
+		return err
+	}).ShouldNot(gomega.Succeed())
+}
+
+func (fixture *fixture) expectStopped(unanswered int) {
+	ginkgo.GinkgoHelper()
+	gomega.Eventually(fixture.stopped, "5s").Should(gomega.Receive(gomega.Equal(unanswered)))
+}
+
+// caller is a caller's connection.
+type caller struct {
+	net.Conn
+	reader *bufio.Reader
+}
+
+// dial connects and, if the connection is kept, gets a first answer on it.
+func (fixture *fixture) dial(kept bool) *caller {
+	ginkgo.GinkgoHelper()
+	conn, err := net.Dial("tcp4", fixture.Addr().String())
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	gomega.Expect(conn.SetDeadline(time.Now().Add(10 * time.Second))).To(gomega.Succeed())
+	ginkgo.DeferCleanup(conn.Close)
+	caller := &caller{Conn: conn, reader: bufio.NewReader(conn)}
+	if kept {
+		caller.send(request)
+		caller.expectAnswer(false)
+	}
+	return caller
+}
+
+func (caller *caller) send(text string) {
+	ginkgo.GinkgoHelper()
+	_, err := io.WriteString(caller, text)
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+}
+
+// expectAnswer expects a whole answer, which announces the close of the connection if
+// last is true.
+func (caller *caller) expectAnswer(last bool) {
+	ginkgo.GinkgoHelper()
+	response, err := http.ReadResponse(caller.reader, nil)
+	gomega.Expect(err).NotTo(gomega.HaveOccurred(), "no answer")
+	gomega.Expect(io.ReadAll(response.Body)).To(gomega.BeEquivalentTo("answer"))
+	gomega.Expect(response.Close).To(gomega.Equal(last))
+}
+
+func (caller *caller) expectClosed() {
+	ginkgo.GinkgoHelper()
+	_, err := caller.reader.ReadByte()
+	gomega.Expect(err).To(gomega.Equal(io.EOF))
+}
+
+var _ = ginkgo.Describe("the check of idle connections", func() {
+	ginkgo.It("closes those that have been idle for longer than the limit", func() {
+		fixture := newFixture(clocktest.NewFakeClock(time.Unix(1000, 0)))
+		caller := fixture.dial(true)
+		gomega.Eventually(func() error {
+			fixture.clock.Step(idleLimit)
+			fixture.CloseIdle()
+			_ = caller.SetReadDeadline(time.Now().Add(10 * time.Millisecond))
+			_, err := caller.reader.ReadByte()
+			return err
+		}).Should(gomega.Equal(io.EOF))
+	})
+	ginkgo.It("closes none on which half of a request has arrived", func() {
+		fixture := newFixture(clocktest.NewFakeClock(time.Unix(1000, 0)))
+		caller := fixture.dial(true)
+		caller.send(request[:half])
+		fixture.clock.Step(2 * idleLimit)
+		fixture.CloseIdle()
+		caller.send(request[half:])
+		caller.expectAnswer(false)
+	})
+})
+
+var _ = ginkgo.Describe("a stop", func() {
+	ginkgo.It("closes idle connections at once", func() {
+		fixture := newFixture(agatestage.SystemClock())
+		caller := fixture.dial(true)
+		fixture.stop(context.Background())
+		caller.expectClosed()
+		fixture.expectStopped(0)
+	})
+	for name, kept := range map[string]bool{"a kept": true, "a new": false} {
+		ginkgo.It("answers a request of which half has arrived on "+name+" connection", func() {
+			fixture := newFixture(agatestage.SystemClock())
+			caller := fixture.dial(kept)
+			caller.send(request[:half])
+			fixture.stop(context.Background())
+			caller.send(request[half:])
+			caller.expectAnswer(true)
+			caller.expectClosed()
+			fixture.expectStopped(0)
+		})
+	}
+	ginkgo.It("answers the first request of a connection that was made just before", func() {
+		fixture := newFixture(agatestage.SystemClock())
+		caller := fixture.dial(false)
+		fixture.stop(context.Background())
+		caller.send(request)
+		caller.expectAnswer(true)
+		fixture.expectStopped(0)
+	})
+	ginkgo.It("waits for the answer to a running request", func() {
+		fixture := newFixture(agatestage.SystemClock())
+		caller := fixture.dial(true)
+		caller.send("GET /slow HTTP/1.1\r\nHost: h\r\n\r\n")
+		<-fixture.started
+		fixture.stop(context.Background())
+		close(fixture.goAhead)
+		caller.expectAnswer(true)
+		caller.expectClosed()
+		fixture.expectStopped(0)
+	})
+	ginkgo.It("counts the requests that it cuts off at the limit", func() {
+		fixture := newFixture(agatestage.SystemClock())
+		defer close(fixture.goAhead)
+		fixture.dial(true).send("GET /slow HTTP/1.1\r\nHost: h\r\n\r\n")
+		<-fixture.started
+		ctx, cancel := context.WithCancel(context.Background())
+		fixture.stop(ctx)
+		cancel()
+		fixture.expectStopped(1)
+	})
+})
--- a/internal/entry/start/start.go
+++ b/internal/entry/start/start.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"net/http"
+	"net/netip"
 	"os"
 	"sync/atomic"
 	"time"
@@ -17,6 +18,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/agatestage/agatestage"
+	"github.com/agatestage/agatestage/internal/base/inlet"
 	"github.com/agatestage/agatestage/internal/base/setup"
 	"github.com/agatestage/agatestage/internal/base/super"
 	"github.com/agatestage/agatestage/internal/batch/claims"
@@ -187,28 +189,19 @@
 	settings setup.Settings
 	tree     *super.Tree
 	ready    atomic.Bool
-	caller   *server
-	admin    *server
-	metrics  *server
+	caller   *inlet.Server
+	admin    *inlet.Server
+	metrics  *inlet.Server
 }
 
-// server is an HTTP server and its listener.
-type server struct {
-	http     *http.Server
-	listener net.Listener
-}
-
-func listen(address, name string, handler http.Handler) (*server, error) {
-	listener, err := net.Listen("tcp", address)
+func listen(address netip.AddrPort, name string, handler http.Handler, clock agatestage.Clock) (*inlet.Server, error) {
+	listener, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(address))
 	if err != nil {
 		return nil, errors.Wrapf(err, "listen for %s", name)
 	}
-	return &server{
-		listener: listener,
-		http: &http.Server{
-			Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		},
-	}, nil
+	return inlet.New(name, &http.Server{
+		Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+	}, listener, clock), nil
 }
 
 // makeDataFolder creates the data folder of an entry that is configured with one.
@@ -219,31 +212,31 @@
 	return errors.Wrap(os.MkdirAll(settings.DataFolder, 0o700), "make data folder")
 }
 
-func newEntry(settings setup.Settings, node *link.Node, feed *feed.Feed, front *front.Front, admin *admin.Admin) (entry *Entry, err error) {
+func newEntry(settings setup.Settings, node *link.Node, feed *feed.Feed, front *front.Front, admin *admin.Admin, clock agatestage.Clock) (entry *Entry, err error) {
 	entry = &Entry{Node: node, Feed: feed, settings: settings, tree: super.New("entry")}
-	if entry.caller, err = listen(settings.Listen.Caller.String(), "callers", front.Handler()); err != nil {
+	if entry.caller, err = listen(settings.Listen.Caller, "callers", front.Handler(), clock); err != nil {
 		return nil, err
 	}
-	if entry.admin, err = listen(settings.Listen.Admin.String(), "operators", admin.Handler()); err != nil {
+	if entry.admin, err = listen(settings.Listen.Admin, "operators", admin.Handler(), clock); err != nil {
 		return nil, err
 	}
-	entry.metrics, err = listen(settings.Listen.Metrics.String(), "metrics", entry.metricsHandler())
+	entry.metrics, err = listen(settings.Listen.Metrics, "metrics", entry.metricsHandler(), clock)
 	return entry, err
 }
 
 // CallerAddress returns the listen address of the callers' API.
 func (entry *Entry) CallerAddress() string {
-	return entry.caller.listener.Addr().String()
+	return entry.caller.Addr().String()
 }
 
 // AdminAddress returns the listen address of the operators' API.
 func (entry *Entry) AdminAddress() string {
-	return entry.admin.listener.Addr().String()
+	return entry.admin.Addr().String()
 }
 
 // MetricsAddress returns the listen address of the metrics and health checks.
 func (entry *Entry) MetricsAddress() string {
-	return entry.metrics.listener.Addr().String()
+	return entry.metrics.Addr().String()
 }
 
 // metricsHandler serves the health and readiness checks and the metrics.
@@ -305,14 +298,10 @@
 		batch = append(batch, components.Repair)
 	}
 	entry.tree.Start("batch", batch...)
-	entry.tree.Start("listeners",
-		super.HTTP("callers", entry.caller.http, entry.caller.listener),
-		super.HTTP("operators", entry.admin.http, entry.admin.listener),
-		super.HTTP("metrics", entry.metrics.http, entry.metrics.listener),
-	)
+	entry.tree.Start("listeners", entry.caller, entry.admin, entry.metrics)
 	entry.ready.Store(true)
 	klog.InfoS("entry serves", "peer", entry.Node.Address(), "callers", entry.CallerAddress(),
-		"operators", entry.AdminAddress(), "metrics", entry.metrics.listener.Addr().String())
+		"operators", entry.AdminAddress(), "metrics", entry.metrics.Addr().String())
 }
 
 // stop drains the entry. It first reports not ready for the drain notice, so that
@@ -325,12 +314,10 @@
 	<-notice.C
 	ctx, cancel := context.WithTimeout(context.Background(), entry.settings.Drain.Limit.Duration)
 	defer cancel()
-	if err := entry.caller.http.Shutdown(ctx); err != nil {
-		klog.InfoS("requests cut off at the drain limit", "error", err.Error())
-	}
-	_ = entry.admin.http.Shutdown(ctx)
+	entry.caller.Stop(ctx)
+	entry.admin.Stop(ctx)
 	components.Owner.Drain()
-	_ = entry.metrics.http.Close()
+	entry.metrics.Stop(ctx)
 	ctx, cancel = context.WithTimeout(context.Background(), leaveTimeout)
 	defer cancel()
 	if err := components.Limits.Reconciler().Leave(ctx); err != nil {
--- a/internal/gate/start/start.go
+++ b/internal/gate/start/start.go
@@ -15,6 +15,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/agatestage/agatestage"
+	"github.com/agatestage/agatestage/internal/base/inlet"
 	"github.com/agatestage/agatestage/internal/base/setup"
 	"github.com/agatestage/agatestage/internal/base/super"
 	"github.com/agatestage/agatestage/internal/base/ticks"
@@ -50,10 +51,7 @@
 	adapter    Adapter
 	ready      atomic.Bool
 	tree       *super.Tree
-	caller     *http.Server
-	status     *http.Server
-	metrics    *http.Server
-	idle       *idleTracker
+	caller     *inlet.Server
 	components *components
 	// initialized is closed once the configuration and the targets have been read.
 	initialized chan struct{}
@@ -62,7 +60,7 @@
 // New returns a Gateway. Run makes it listen; it isn't ready before it has read the
 // configuration and the targets.
 func New(settings setup.Settings, adapter Adapter, clock agatestage.Clock) *Gateway {
-	gateway := &Gateway{settings: settings, clock: clock, adapter: adapter, tree: super.New("gateway"), idle: newIdleTracker(clock), initialized: make(chan struct{})}
+	gateway := &Gateway{settings: settings, clock: clock, adapter: adapter, tree: super.New("gateway"), initialized: make(chan struct{})}
 	gateway.drain.Store(&settings.Drain)
 	return gateway
 }
@@ -106,28 +104,28 @@
 // listen binds the addresses and starts their servers. Until the gateway is ready,
 // callers are refused after a short wait.
 func (gateway *Gateway) listen() error {
-	gateway.caller = &http.Server{
-		Handler:           http.HandlerFunc(gateway.serve),
-		ReadHeaderTimeout: readHeaderTimeout,
-		ConnState:         gateway.idle.trackState,
-	}
-	gateway.status = &http.Server{Handler: gateway.adapter.ReadinessHandler(gateway.ready.Load), ReadHeaderTimeout: readHeaderTimeout}
+	caller := &http.Server{Handler: http.HandlerFunc(gateway.serve), ReadHeaderTimeout: readHeaderTimeout}
+	status := &http.Server{Handler: gateway.adapter.ReadinessHandler(gateway.ready.Load), ReadHeaderTimeout: readHeaderTimeout}
 	mux := http.NewServeMux()
 	mux.HandleFunc("/metrics", func(writer http.ResponseWriter, _ *http.Request) { metrics.WritePrometheus(writer, true) })
-	gateway.metrics = &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout}
 	for _, bind := range []struct {
 		name    string
 		address netip.AddrPort
 		server  *http.Server
 	}{
-		{"callers", gateway.settings.Listen.Caller, gateway.caller},
-		{"readiness", gateway.settings.Listen.Ready, gateway.status},
-		{"metrics", gateway.settings.Listen.Metrics, gateway.metrics},
+		{"callers", gateway.settings.Listen.Caller, caller},
+		{"readiness", gateway.settings.Listen.Ready, status},
+		{"metrics", gateway.settings.Listen.Metrics, &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout}},
 	} {
-		listener, err := net.Listen("tcp4", bind.address.String())
+		listener, err := net.ListenTCP("tcp4", net.TCPAddrFromAddrPort(bind.address))
 		if err != nil {
 			return errors.Wrapf(err, "listen for %s", bind.name)
 		}
+		if bind.server == caller {
+			gateway.caller = inlet.New(bind.name, caller, listener, gateway.clock)
+			gateway.tree.Start(bind.name, gateway.caller)
+			continue
+		}
 		gateway.tree.Start(bind.name, super.HTTP(bind.name, bind.server, listener))
 	}
 	return nil
@@ -175,7 +173,7 @@
 func (gateway *Gateway) startComponents(components *components) {
 	gateway.components = components
 	components.Holder.OnChange(func(snapshot *rules.Snapshot) {
-		gateway.idle.setLimit(snapshot.Bounds().IdleTime)
+		gateway.caller.SetIdleLimit(snapshot.Bounds().IdleTime)
 		components.View.SetBatchServices(snapshot.BatchServices())
 		if components.Mesh.Watching() {
 			components.Mesh.Announce()
@@ -187,7 +185,7 @@
 	gateway.tree.Start("connections", super.Func("connections", func(ctx context.Context) error {
 		return ticks.Every(ctx, gateway.clock, idleCheckPeriod, func(context.Context) {
 			components.Pool.CloseExpired()
-			gateway.idle.closeIdle()
+			gateway.caller.CloseIdle()
 		})
 	}))
 	gateway.tree.Start("targets", super.Func("silent targets", components.Relay.Watch))
@@ -226,9 +224,7 @@
 		gateway.components.Jobs.Drain(ctx)
 	}()
 	ticks.Wait(ctx, gateway.clock, drain.Notice.Duration)
-	if err := gateway.caller.Shutdown(ctx); err != nil {
-		logUnanswered("drain limit", gateway.idle.running())
-	}
+	gateway.caller.Stop(ctx)
 	select {
 	case <-jobs:
 	case <-ctx.Done():
