gate/start: requests that wait for the start are refused when the gateway is stopped meanwhile

What callers saw: a request to a gateway that had just been started, and was stopped before it had reached the store, lost its connection without an answer.

Cause: Run returned as soon as its context ended while the certificate was loaded; the process ended with requests in the wait for the start (startupWait). It now stops the callers' server as at every other stop: the waiting requests get their 503.

Evidence: the new test (a gateway whose store is cut off, SIGTERM 50 ms after the request) failed before: Expected <soak_test.answer>: {status: 0, body: "", truncated: false} to equal {status: 503, ...} (stop_test.go:152)

The same file plays a fleet whose gateways are stopped one after the other under callers with kept connections, with SIGHUP and changes of configuration in between; no request that an engine ran ends without a whole answer.

--- a/internal/gate/start/start.go
+++ b/internal/gate/start/start.go
@@ -72,7 +72,11 @@
 	}
 	bundle, err := gateway.loadCertificate(ctx)
 	if ctx.Err() != nil {
-		// The gateway was stopped before it reached the store.
+		// The gateway was stopped before it reached the store. The requests that wait
+		// for its start are refused.
+		waiting, cancelWaiting := context.WithTimeout(context.Background(), gateway.drain.Load().Limit.Duration/2)
+		defer cancelWaiting()
+		gateway.caller.Stop(waiting)
 		return nil
 	}
 	if err != nil {
