gate/start: running requests get seven eighths of the drain limit, while the lease is given back

What callers saw: a stream that ran when its gateway was stopped was cut two seconds before the end of the drain limit (6 s of 8 s), though it would have ended in time: what an engine completes before the last sixth of that time (6.7 s of 8 s) must reach the caller. With a limit of 3 s it was cut after half.

Cause: one context bounded the hand-over of jobs, the requests and the wait before the lease is given back; two seconds were reserved for the last writes, in which no request could run. Requests have a context of their own now; what is left to write is written while they run.

--- a/internal/gate/start/start.go
+++ b/internal/gate/start/start.go
@@ -39,8 +39,11 @@
 	readHeaderTimeout = 10 * time.Second
 	// leaveTimeout bounds the last writes to the store when a gateway stops. As much
 	// time again is reserved for the stop itself, but at most half of the drain limit
-	// for both.
+	// for both. Running requests go on meanwhile.
 	leaveTimeout = time.Second
+	// requestEighths is the part of the drain limit, in eighths, within which running
+	// requests may end: more than the five sixths that callers may rely on.
+	requestEighths = 7
 )
 
 // Gateway is a running gateway.
@@ -220,22 +223,31 @@
 	gateway.components.Mesh.Leave()
 	drain := gateway.drain.Load()
 	klog.InfoS("gateway drains", "notice", drain.Notice.Duration, "limit", drain.Limit.Duration)
-	ctx, cancel := context.WithTimeout(context.Background(), max(drain.Limit.Duration/2, drain.Limit.Duration-2*leaveTimeout))
+	limit := drain.Limit.Duration
+	ctx, cancel := context.WithTimeout(context.Background(), max(limit/2, limit-2*leaveTimeout))
 	defer cancel()
-	jobs := make(chan struct{})
+	requests, cancelRequests := context.WithTimeout(context.Background(), limit*requestEighths/8)
+	defer cancelRequests()
+	jobs, callers := make(chan struct{}), make(chan struct{})
 	go func() {
 		defer close(jobs)
 		gateway.components.Jobs.Drain(ctx)
 	}()
 	ticks.Wait(ctx, gateway.clock, drain.Notice.Duration)
-	gateway.caller.Stop(ctx)
-	select {
-	case <-jobs:
-	case <-ctx.Done():
+	go func() {
+		defer close(callers)
+		gateway.caller.Stop(requests)
+	}()
+	for _, done := range []<-chan struct{}{jobs, callers} {
+		select {
+		case <-done:
+		case <-ctx.Done():
+		}
 	}
 	last, cancelLast := context.WithTimeout(context.Background(), leaveTimeout)
 	defer cancelLast()
 	gateway.components.Roster.Leave(last)
+	<-callers
 	_ = gateway.components.Node.Close()
 	klog.InfoS("gateway stops")
 	klog.Flush()
