batch/owner: an item that found targets down is still owed

On entries and sides a batch item was listed as failed because it was sent to two targets that were down already: a side reports a refused connection as a lost target, and the owner counted it against the item though its outcome says 'not run'. Now an attempt that certainly didn't run counts neither as a failure nor as a strike.

Not changed: an item that was running at two targets when they went down still ends with an error here. test/whole ('end with an error for an item that crashes targets, and crash at most two') promises it for entries; the users' report that items never crash servers contradicts that test, which is the lead's to decide.

--- a/internal/batch/owner/job.go
+++ b/internal/batch/owner/job.go
@@ -30,7 +30,8 @@
 	// is read.
 	readAheadItems = 256
 	// maxAttempts bounds the failed attempts of an item. Attempts that were
-	// returned, for example because they gave way to online calls, don't count.
+	// returned, for example because they gave way to online calls, or that certainly
+	// didn't run, don't count.
 	maxAttempts = 4
 	// maxLostTargets is the number of targets that must go down while running an
 	// item for the item to fail.
@@ -233,7 +234,8 @@
 // shouldRetry counts a failed attempt and reports whether the item should be
 // retried; the mutex is held.
 func (job *Job) shouldRetry(number int, outcome calls.ItemResult) bool {
-	if outcome.Returned {
+	// A target that was down before the item reached it says nothing about the item.
+	if outcome.Returned || (outcome.Refusal != nil && outcome.Refusal.Ran == agatestage.RanNo) {
 		return true
 	}
 	if outcome.TargetLost {
