gate/sched: a target that was probed while it was down is used again

When several calls break off at a target one after the other, the first failed probe or dial marks the target as down; the probe of a later one marks it as suspect, and as its dial fails, too, MarkDown found the target down already and left the suspect flag set. The prober's MarkUp clears only down. The target stayed unusable at this gateway until the registry listed another incarnation, that is, for ever after a cut or a freeze that the incarnation survives. MarkDown now clears the flag in any case. Ruled out: MarkUp clearing it, as that would cut short a probe that is on its way.

Evidence: 'go test ./internal/gate/sched' failed before in 'goes to a target again that was probed while it was down' (NoTarget: no target of service service can be used).

--- a/internal/gate/sched/health.go
+++ b/internal/gate/sched/health.go
@@ -72,11 +72,17 @@
 func (scheduler *Scheduler) MarkDown(id string) {
 	scheduler.mutex.Lock()
 	target := scheduler.targets[id]
-	if target == nil || target.down {
+	if target == nil {
 		scheduler.mutex.Unlock()
 		return
 	}
+	// A target that was down already may have been probed all the same.
+	known := target.down
 	target.down, target.suspect = true, false
+	if known {
+		scheduler.mutex.Unlock()
+		return
+	}
 	endpoint := target.Endpoint
 	scheduler.mutex.Unlock()
 	scheduler.onDown(endpoint)
