gate/sched: only the incarnation that was found replaced is no longer used

A gateway could stop using a sound target: when a target answers that another incarnation has its address now, the gateway marked whatever incarnation it knew under that name. If the list had brought the new one while the answer was under way, the new one was marked as draining until the list of targets changed again, which in calm it doesn't.

The mark now goes through the reservation (MarkReplaced), which names the incarnation that the call went to, like the counts of its calls.

Evidence: with the mark by name, 'go test ./internal/gate/sched' failed in 'goes to a new incarnation though the one before is found to be replaced only afterwards' (NoTarget: no target of service service can be used).

--- a/internal/gate/relay/attempt.go
+++ b/internal/gate/relay/attempt.go
@@ -117,7 +117,7 @@
 		response.Close()
 	}
 	if info.Replaced {
-		run.sched.MarkDraining(reservation.Target.ID)
+		reservation.MarkReplaced()
 		return notRun(agatestage.CodeNoTarget, "another incarnation has the address of target %s", reservation.Target.ID)
 	}
 	return notRun(agatestage.CodeBusy, "target %s turned the call away with status %d", reservation.Target.ID, response.Status)
--- a/internal/gate/sched/health.go
+++ b/internal/gate/sched/health.go
@@ -98,12 +98,13 @@
 	}
 }
 
-// MarkDraining stops using an incarnation whose address belongs to another one now,
-// until the list of targets is updated.
-func (scheduler *Scheduler) MarkDraining(id string) {
+// MarkReplaced stops using the target's incarnation, whose address belongs to another
+// one now, until the list of targets is updated.
+func (reservation *Reservation) MarkReplaced() {
+	scheduler := reservation.scheduler
 	scheduler.mutex.Lock()
 	defer scheduler.mutex.Unlock()
-	if target := scheduler.targets[id]; target != nil {
+	if target := scheduler.currentTarget(reservation); target != nil {
 		target.Draining = true
 	}
 }
