--- a/internal/gate/sched/health.go
+++ b/internal/gate/sched/health.go
@@ -72,11 +72,17 @@
 func (scheduler *Scheduler) MarkDown(id string) {
 	scheduler.mutex.Lock()
 	target := scheduler.targets[id]
-	if target == nil || target.down {
+	if target == nil {
 		scheduler.mutex.Unlock()
 		return
 	}
+	// A target that was down already may have been probed all the same.
+	known := target.down
 	target.down, target.suspect = true, false
+	if known {
+		scheduler.mutex.Unlock()
+		return
+	}
 	endpoint := target.Endpoint
 	scheduler.mutex.Unlock()
 	scheduler.onDown(endpoint)
@@ -92,12 +98,13 @@
 	}
 }
 
-// MarkDraining stops using an incarnation whose address belongs to another one now,
-// until the list of targets is updated.
-func (scheduler *Scheduler) MarkDraining(id string) {
+// MarkReplaced stops using the target's incarnation, whose address belongs to another
+// one now, until the list of targets is updated.
+func (reservation *Reservation) MarkReplaced() {
+	scheduler := reservation.scheduler
 	scheduler.mutex.Lock()
 	defer scheduler.mutex.Unlock()
-	if target := scheduler.targets[id]; target != nil {
+	if target := scheduler.currentTarget(reservation); target != nil {
 		target.Draining = true
 	}
 }
