gate/batch: a reader shows at least the results that it has read itself

Two reads of one job from the store at the same time: what the one with the newer head had read was dropped if the one with the older head had filled the cache before it. And an owner's answer was taken though the head that the gateway follows in the store already counted more results: the owner may still be waiting for the reply to its write.

Now a read shows what it has read, and the longer of two fills the cache; an answer with fewer results than the cached head counts is ignored and the store read.

--- a/internal/gate/batch/fixture_test.go
+++ b/internal/gate/batch/fixture_test.go
@@ -167,7 +167,9 @@
 
 // fixture is a store, a configuration and a fleet, which the gateways of a test share.
 type fixture struct {
-	store      *store.Store
+	store *store.Store
+	// front, if set, is what gateways that are started see of the store.
+	front      agatestage.Transactor
 	holder     *rules.Holder
 	fakeRunner *fakeRunner
 	fakeFleet  *fakeFleet
@@ -237,7 +239,11 @@
 
 // start runs a gateway's manager.
 func (fixture *fixture) start(gateway batch.Gateway, options ...batch.Option) (*batch.Manager, context.CancelFunc) {
-	manager := batch.New(gateway, fixture.store, agatestage.SystemClock(), fixture.fakeRunner, fixture.holder, fixture.fakeFleet,
+	front := fixture.front
+	if front == nil {
+		front = fixture.store
+	}
+	manager := batch.New(gateway, front, agatestage.SystemClock(), fixture.fakeRunner, fixture.holder, fixture.fakeFleet,
 		func(*agatestage.Call) uint64 { return 0 }, options...)
 	ctx, cancel := context.WithCancel(context.Background())
 	ginkgo.DeferCleanup(func() {
--- a/internal/gate/batch/results.go
+++ b/internal/gate/batch/results.go
@@ -157,7 +157,7 @@
 		return listing{versionedHead: head, results: results, source: sourceCache}, nil
 	}
 	if head.Owner != "" && head.Owner != manager.name {
-		if answer, ok := manager.peers.QueryJob(ctx, head.Owner, head.ID, len(results)); ok && answer.Head.Results >= len(results) {
+		if answer, ok := manager.peers.QueryJob(ctx, head.Owner, head.ID, len(results)); ok && answer.Head.Results >= len(results) && manager.isNews(answer) {
 			return manager.cacheAnswer(results, answer), nil
 		}
 	}
@@ -169,14 +169,22 @@
 	if err != nil {
 		return listing{}, storeRefusal("the job's results can't be looked up now", err)
 	}
-	head = observed
+	results = append(results[:len(results):len(results)], more...)
 	manager.mutex.Lock()
 	defer manager.mutex.Unlock()
-	manager.cacheHeadLocked(head)
-	if cached.chunks == chunks {
-		cached.results, cached.chunks = append(results[:len(results):len(results)], more...), head.Chunks
+	manager.cacheHeadLocked(observed)
+	// Another read, of an older or a newer head, may have ended meanwhile.
+	if cached = manager.snapshot(head.ID); len(cached.results) < len(results) {
+		cached.results, cached.chunks = results, observed.Chunks
 	}
-	return listing{versionedHead: head, results: cached.results, source: sourceStore}, nil
+	return listing{versionedHead: observed, results: results, source: sourceStore}, nil
+}
+
+// isNews reports whether an owner's answer has all results that this gateway knows of.
+func (manager *Manager) isNews(answer Answer) bool {
+	manager.mutex.Lock()
+	defer manager.mutex.Unlock()
+	return answer.Head.Results >= manager.heads[answer.Head.ID].Results
 }
 
 // readNewResults reads the chunks of results from a chunk on from the store. It first
