gate/batch: an owner that waits for the reply to a write isn't the source of its job's results

A call to the store may take 1.2 s, and finding out what became of a write three more.

From half a second after the begin of a write of unknown outcome on, the owner answers no queries, and its own callers' reads go to the store, which knows. A write that was certainly not executed counts as none.

--- a/internal/gate/batch/job.go
+++ b/internal/gate/batch/job.go
@@ -68,6 +68,9 @@
 	// lease is the lease of this gateway under which the store last confirmed the head.
 	lease      agatestage.Lease
 	confirming atomic.Bool
+	// unknownSince is when the earliest write of the head began whose outcome isn't known,
+	// zero if there is none.
+	unknownSince time.Time
 }
 
 func newJob(manager *Manager, owned versionedHead, lease agatestage.Lease, items []Item, stored []Result) *job {
@@ -212,11 +215,18 @@
 	before, pending, progress := job.versionedHead, slices.Clone(job.pending), job.progressLocked()
 	progressDirty := job.progressDirty
 	job.progressDirty, job.committing = false, true
+	known := job.unknownSince.IsZero()
+	if known {
+		job.unknownSince = job.manager.clock.Now()
+	}
 	job.mutex.Unlock()
 	defer func() {
 		job.mutex.Lock()
 		defer job.mutex.Unlock()
 		job.committing = false
+		if err == nil || (known && errors.Is(err, agatestage.ErrUnavailable)) {
+			job.unknownSince = time.Time{}
+		}
 		job.progressDirty = job.progressDirty || (err != nil && progressDirty)
 	}()
 	chunks, err := encodeResults(pending)
--- a/internal/gate/batch/ownership.go
+++ b/internal/gate/batch/ownership.go
@@ -14,6 +14,11 @@
 // two renewals of its lease, of which the first may take up to its time-out.
 const outageNoticeTime = 2 * time.Second
 
+// writeDoubtAfter is how long after the begin of a write of a job's head an owner that has
+// no reply still answers with what it had before. Callers may rely on a result that
+// another gateway has read from the store a second ago.
+const writeDoubtAfter = 500 * time.Millisecond
+
 // currentLease returns this gateway's lease, or "" if it has none or may not rely on it.
 func (manager *Manager) currentLease() agatestage.Lease {
 	lease, until := manager.fleet.Lease()
@@ -59,12 +64,21 @@
 // that this gateway has seen.
 func (job *job) isOwned(known versionedHead) bool {
 	job.mutex.Lock()
-	confirmed, observed, stopped := job.lease, job.versionedHead, job.stopped
+	observed, unknownSince := job.versionedHead, job.unknownSince
 	job.mutex.Unlock()
 	if !observed.Open() {
 		return true
 	}
-	return !stopped && known.Epoch <= observed.Epoch && job.manager.cannotBeTakenOver(confirmed)
+	written := unknownSince.IsZero() || job.manager.clock.Since(unknownSince) < writeDoubtAfter
+	return written && known.Results <= observed.Results && known.Epoch <= observed.Epoch && job.isHeld()
+}
+
+// isHeld reports whether the job runs here and can't have been taken over.
+func (job *job) isHeld() bool {
+	job.mutex.Lock()
+	confirmed, stopped := job.lease, job.stopped
+	job.mutex.Unlock()
+	return !stopped && job.manager.cannotBeTakenOver(confirmed)
 }
 
 // confirmOwned has the store confirm the heads of the jobs that may have been taken over
@@ -75,8 +89,8 @@
 	}
 	manager.mutex.Lock()
 	var doubtful []*job
-	for id, owned := range manager.jobs {
-		if !owned.hasTerminated() && !owned.isOwned(manager.heads[id]) {
+	for _, owned := range manager.jobs {
+		if !owned.hasTerminated() && !owned.isHeld() {
 			doubtful = append(doubtful, owned)
 		}
 	}
--- a/internal/gate/batch/reader_test.go
+++ b/internal/gate/batch/reader_test.go
@@ -15,12 +15,14 @@
 	"github.com/agatestage/agatestage/internal/gate/relay"
 )
 
-// heldStore holds back reads of chosen keys, each key's reads by number.
+// heldStore holds back reads of chosen keys, each key's reads by number, and the replies
+// to commits of results.
 type heldStore struct {
 	*store.Store
-	mutex sync.Mutex
-	reads map[string]int
-	hold  func(key string, read int) <-chan struct{}
+	mutex   sync.Mutex
+	reads   map[string]int
+	hold    func(key string, read int) <-chan struct{}
+	replies chan struct{}
 }
 
 // Get implements agatestage.Store.
@@ -38,6 +40,15 @@
 	return heldStore.Store.Get(ctx, key)
 }
 
+// Commit implements agatestage.Transactor.
+func (heldStore *heldStore) Commit(ctx context.Context, conditions []agatestage.Condition, writes []agatestage.Write) (uint64, error) {
+	version, err := heldStore.Store.Commit(ctx, conditions, writes)
+	if len(writes) > 1 && writes[1].Key == "batch/chunk/job/00000" && heldStore.replies != nil {
+		<-heldStore.replies
+	}
+	return version, err
+}
+
 func (heldStore *heldStore) readCount(key string) int {
 	heldStore.mutex.Lock()
 	defer heldStore.mutex.Unlock()
@@ -119,6 +130,19 @@
 		reader, _ := fixture.start(second, batch.WithPeers(peers))
 		gomega.Eventually(func() int { return len(results(reader, spec.ID).Results) }, waitTimeout).Should(gomega.Equal(1))
 	})
+	ginkgo.It("are shown by their owner though the reply to its write doesn't come", func() {
+		fixture := newFixture()
+		fixture.fakeFleet.setAlive(first, second)
+		held := &heldStore{Store: fixture.store, reads: make(map[string]int), replies: make(chan struct{})}
+		ginkgo.DeferCleanup(func() { close(held.replies) })
+		reader, _ := fixture.start(second, blind())
+		fixture.front = held
+		owner, _ := fixture.start(first, blind())
+		spec := fixture.spec("job", 1)
+		gomega.Expect(owner.Submit(context.Background(), spec)).To(gomega.Succeed())
+		gomega.Eventually(func() int { return len(results(reader, spec.ID).Results) }, waitTimeout).Should(gomega.Equal(1))
+		gomega.Eventually(func() int { return len(results(owner, spec.ID).Results) }, 3*observeTime).Should(gomega.Equal(1))
+	})
 })
 
 // yieldSecond is a script by which the first run of the item job-1 is preempted.
