wire/link: a replaced connection is closed after the calls in flight on it have ended

What callers saw: a job that was passed on to another gateway, or a query to a job's owner, failed with `Application error 0x2 (local): replaced` though the other gateway was sound and answered; for the job the caller got a 502 with `not known whether it ran`.

Cause: an exchange that finds its connection silent probes it for 450 ms and, without an answer, replaces it. The old one was closed at once, under all other calls in flight on it, which have 2.5 s until the liveness check gives them up. A peer on a host with a part of a core, or a lossy path, misses three probes in 450 ms now and then. The old connection now stays until the calls in flight on it have ended, or the liveness check closes it.

Evidence: the new test failed before: `receive message: Application error 0x2 (local): replaced` (link_test.go:123).

--- a/internal/wire/link/conn.go
+++ b/internal/wire/link/conn.go
@@ -47,7 +47,9 @@
 	lastReceived atomic.Int64
 	// timedOut means that the liveness check closed the connection.
 	timedOut atomic.Bool
-	mutex    sync.Mutex
+	// retired means that another connection has replaced it.
+	retired atomic.Bool
+	mutex   sync.Mutex
 	// changed is closed and replaced when data from the peer arrives.
 	changed chan struct{}
 }
@@ -149,6 +151,19 @@
 	return errors.New("peer did not answer probes")
 }
 
+// retire closes the connection once the calls in flight have ended. Until then they
+// depend on the liveness check alone.
+func (conn *conn) retire() {
+	conn.retired.Store(true)
+	conn.closeRetired()
+}
+
+func (conn *conn) closeRetired() {
+	if conn.retired.Load() && conn.inflight.Load() == 0 {
+		conn.close(connTimedOut, "replaced")
+	}
+}
+
 func (conn *conn) close(code quic.ApplicationErrorCode, reason string) {
 	_ = conn.quic.CloseWithError(code, reason)
 }
--- a/internal/wire/link/link_test.go
+++ b/internal/wire/link/link_test.go
@@ -20,7 +20,12 @@
 	ginkgo.RunSpecs(t, "links")
 }
 
-const testTimeout = 20 * time.Second
+const (
+	testTimeout = 20 * time.Second
+	// replaceTime is long enough for the probe of a connection to fail, and much shorter
+	// than the silence after which its exchanges are given up.
+	replaceTime = 600 * time.Millisecond
+)
 
 // pair is a client and a server node with a fault-injecting relay in front of the
 // server.
@@ -94,6 +99,30 @@
 		pair.expectEcho(ctx)
 	})
 
+	ginkgo.It("keep an exchange in flight when another one replaces its connection", func() {
+		pair := newPair()
+		began, release := make(chan struct{}), make(chan struct{})
+		pair.server.Handle("Slow", func(ctx context.Context, peer certs.Identity, stream *link.Stream) error {
+			close(began)
+			<-release
+			return echo(ctx, peer, stream)
+		})
+		replied := make(chan error, 1)
+		go func() {
+			var reply message
+			replied <- pair.client.Ask(pair.ctx, pair.relay.Address(), "Slow", message{}, &reply)
+		}()
+		gomega.Eventually(began, testTimeout).Should(gomega.BeClosed())
+		pair.relay.Set(fault.Faults{Cut: true})
+		ctx, cancel := context.WithTimeout(pair.ctx, replaceTime)
+		defer cancel()
+		_, _, err := pair.client.BeginVerified(ctx, pair.relay.Address(), "Slow")
+		gomega.Expect(err).To(gomega.HaveOccurred())
+		pair.relay.Set(fault.Faults{})
+		close(release)
+		gomega.Eventually(replied, testTimeout).Should(gomega.Receive(gomega.Succeed()))
+	})
+
 	ginkgo.It("abort an exchange whose peer has stopped responding, long before its deadline", func() {
 		pair := newPair()
 		began := make(chan struct{})
--- a/internal/wire/link/node.go
+++ b/internal/wire/link/node.go
@@ -275,6 +275,7 @@
 		stream.finish()
 		conn.inflight.Add(-weight)
 		stream.Abort()
+		conn.closeRetired()
 	})
 	if err = stream.Send(Open{Kind: kind}); err != nil {
 		finish()
@@ -314,7 +315,7 @@
 			return nil, ctx.Err()
 		}
 		pooledConn.fresh = pooledConn.fresh || pooledConn.conn.timedOut.Load() || pooledConn.conn.quic.Context().Err() == nil
-		pooledConn.conn.close(connTimedOut, "replaced")
+		pooledConn.conn.retire()
 		pooledConn.conn = nil
 	}
 	conn, err := node.dial(ctx, address, pooledConn.fresh)
