gate/conns: connections in use aren't kept once their target's idle ones are closed

CloseIdle closed what was idle, but an exchange that was running then put its connection back at its end, to a target that gets no more calls or, after a removal, to an address that may have another target. Each connection now records how often CloseIdle had been called for its address when it was made. Ruled out: a list of closed addresses, which would also refuse the connections of the next target there.

The new test failed before: 'Timed out after 60.000s. Expected <int32>: 0 to be equivalent to <int>: 1' (no connection closed).

--- a/internal/gate/conns/conns.go
+++ b/internal/gate/conns/conns.go
@@ -123,6 +123,8 @@
 	clock agatestage.Clock
 	mutex sync.Mutex
 	idle  map[netip.AddrPort][]*conn
+	// generations counts the calls of CloseIdle for each address.
+	generations map[netip.AddrPort]int
 }
 
 // conn is a connection, used by one exchange at a time.
@@ -135,6 +137,8 @@
 	// idleSince is when it became idle.
 	idleTimeout time.Duration
 	idleSince   time.Time
+	// generation is that of the address when the connection was made.
+	generation int
 }
 
 // headLimiter reads from a connection and bounds what is read of a head.
@@ -160,12 +164,14 @@
 
 // New returns a pool without connections.
 func New(clock agatestage.Clock) *Pool {
-	return &Pool{clock: clock, idle: make(map[netip.AddrPort][]*conn)}
+	return &Pool{clock: clock, idle: make(map[netip.AddrPort][]*conn), generations: make(map[netip.AddrPort]int)}
 }
 
-// CloseIdle closes the idle connections to a target that has been removed.
+// CloseIdle closes the idle connections to a target that gets no more calls. Those in
+// use are closed at the end of their exchange.
 func (pool *Pool) CloseIdle(address netip.AddrPort) {
 	pool.mutex.Lock()
+	pool.generations[address]++
 	conns := pool.idle[address]
 	delete(pool.idle, address)
 	pool.mutex.Unlock()
@@ -267,20 +273,24 @@
 		}
 		return err
 	}}
+	pool.mutex.Lock()
+	generation := pool.generations[address]
+	pool.mutex.Unlock()
 	raw, err := dialer.DialContext(ctx, "tcp4", address.String())
 	if err != nil {
 		return nil, err
 	}
 	metrics.GetOrCreateCounter("agatestage_target_connections_total").Inc()
 	source := &headLimiter{raw: raw}
-	return &conn{Conn: raw, address: address, source: source, reader: bufio.NewReaderSize(source, bufferSize), idleTimeout: defaultIdleTimeout, idleSince: pool.clock.Now()}, nil
+	return &conn{Conn: raw, address: address, source: source, reader: bufio.NewReaderSize(source, bufferSize), idleTimeout: defaultIdleTimeout, idleSince: pool.clock.Now(), generation: generation}, nil
 }
 
-// putIdle adds a connection to the pool.
+// putIdle adds a connection to the pool, or closes it if CloseIdle has been called since
+// it was made.
 func (pool *Pool) putIdle(conn *conn) {
 	conn.idleSince = pool.clock.Now()
 	pool.mutex.Lock()
-	if len(pool.idle[conn.address]) < maxIdle {
+	if conn.generation == pool.generations[conn.address] && len(pool.idle[conn.address]) < maxIdle {
 		pool.idle[conn.address] = append(pool.idle[conn.address], conn)
 		conn = nil
 	}
