--- a/endpoint.go
+++ b/endpoint.go
@@ -35,6 +35,9 @@
 	Replaced bool
 	// Sealed means that the answer carries the target's own seal.
 	Sealed bool
+	// Leaving means that the target states that it is shutting down and should get no
+	// new calls. It says nothing of the call itself.
+	Leaving bool
 }
 
 // Dialect translates calls and answers to and from the platform's HTTP conventions
