gate/sched: a target that says it is leaving gets nothing new

The relay now marks a target with the head of the first answer that has AnswerInfo.Leaving, whatever its status, before any of it is forwarded, so a caller that has seen the header can't reach the target again from here. The scheduler keeps the mark beside the list, by ID and start time: the list may be older than the answer, in Apply as in the answers of other gateways. The target isn't usable from then on, so that admission, waiting calls, backlog, forecasts and homes leave it out at once; running calls end, idle connections are closed, those in use at their end.

Ruled out: ending it with the next list (may be older), with an answer without the header (may have been sent before), by address (given to others again), by a check of the target's health (a new kind of request that waits for a slot). A later start under the same ID or another ID is served at once. Limit: a restart under the same ID that this gateway hasn't read of, and that leaves at once again, is marked as the start before.

--- a/internal/gate/relay/attempt.go
+++ b/internal/gate/relay/attempt.go
@@ -50,6 +50,12 @@
 	defer response.Abort()
 	run.recordTarget(reservation.Target)
 	info := run.dialect.Inspect(run.call, response.Status, response.Header)
+	if info.Leaving {
+		// Before any of the response is forwarded, so that a later call of the same
+		// caller can't reach the target.
+		run.sched.MarkLeaving(reservation.Target)
+		run.conns.CloseIdle(reservation.Target.Address)
+	}
 	if info.NotRun || info.Replaced {
 		return run.rejected(reservation, response, info)
 	}
--- a/internal/gate/relay/probe.go
+++ b/internal/gate/relay/probe.go
@@ -49,10 +49,11 @@
 	return false
 }
 
-// Watch probes stalled targets until ctx ends.
+// Watch probes stalled targets, and ends what they stated too long ago, until ctx ends.
 func (relay *Relay) Watch(ctx context.Context) error {
 	last := relay.clock.Now()
 	return ticks.Every(ctx, relay.clock, stallCheckInterval, func(context.Context) {
+		relay.sched.ExpireLeaving()
 		// If this process itself was suspended, silence says nothing about the
 		// targets.
 		since := relay.clock.Since(last)
--- a/internal/gate/relay/relay_test.go
+++ b/internal/gate/relay/relay_test.go
@@ -37,33 +37,34 @@
 
 // The headers of the test dialect.
 const (
-	headerID     = "Call-Id"
-	headerMark   = "Mark"
-	headerNotRun = "Not-Run"
+	headerID      = "Call-Id"
+	headerMark    = "Mark"
+	headerNotRun  = "Not-Run"
+	headerLeaving = "Leaving"
 )
 
 // fixture is a relay and its targets, the first of which is tried first.
 type fixture struct {
 	*relay.Relay
-	sched   *sched.Scheduler
-	strikes chan blame.Strike
+	sched     *sched.Scheduler
+	endpoints []agatestage.Endpoint
+	strikes   chan blame.Strike
 }
 
 func newFixture(targets ...*target) *fixture {
 	clock := agatestage.SystemClock()
 	fixture := &fixture{sched: sched.New(clock, "region", "zone", sched.WithRandom(func(int) int { return 0 })), strikes: make(chan blame.Strike, 16)}
-	var endpoints []agatestage.Endpoint
 	homes := make(map[string]bool)
 	for i, target := range targets {
 		id := fmt.Sprint("target-", i)
 		// A target with more slots is less loaded.
-		endpoints = append(endpoints, agatestage.Endpoint{
+		fixture.endpoints = append(fixture.endpoints, agatestage.Endpoint{
 			ID: id, Service: service, Region: "region", Zone: "zone", Slots: 100 - i,
 			Address: netip.MustParseAddrPort(target.listener.Addr().String()),
 		})
 		homes[id] = true
 	}
-	fixture.sched.Apply(endpoints)
+	fixture.sched.Apply(fixture.endpoints)
 	fixture.sched.SetHomes(homes)
 	list := blame.New(clock)
 	fixture.Relay = relay.New(clock, fixture.sched, conns.New(clock), dialect{}, list, relay.WithStrikes(func(strike blame.Strike) { fixture.strikes <- strike }))
--- a/internal/gate/relay/target_test.go
+++ b/internal/gate/relay/target_test.go
@@ -30,7 +30,7 @@
 	id := header.Get(headerID)
 	return agatestage.AnswerInfo{
 		Foreign: id != "" && id != call.ID, NotRun: header.Get(headerNotRun) != "",
-		Replaced: status == http.StatusMisdirectedRequest, Sealed: header.Get(headerMark) != "",
+		Replaced: status == http.StatusMisdirectedRequest, Sealed: header.Get(headerMark) != "", Leaving: header.Get(headerLeaving) != "",
 	}
 }
 
--- a/internal/gate/sched/sched.go
+++ b/internal/gate/sched/sched.go
@@ -126,12 +126,15 @@
 	homes    map[string]bool
 	// reported holds the targets at which each other gateway has calls.
 	reported map[string]map[string]bool
+	// leaves maps IDs to the newest incarnation that stated that it is leaving.
+	leaves map[string]leave
 	// batchServices holds the services that batch calls use; nil means all.
 	batchServices map[string]bool
 	usage         usage
 	random        func(n int) int
 	onDown        func(agatestage.Endpoint)
 	onRemoved     func(agatestage.Endpoint)
+	onReadiness   func(endpoint agatestage.Endpoint, ready bool)
 	onGuest       func(target string, held Held)
 }
 
@@ -169,8 +172,8 @@
 func New(clock agatestage.Clock, region, zone string, options ...Option) *Scheduler {
 	scheduler := &Scheduler{
 		clock: clock, region: region, zone: zone, random: rand.IntN,
-		services: make(map[string]*serviceState), targets: make(map[string]*target), homes: make(map[string]bool), reported: make(map[string]map[string]bool),
-		onDown: func(agatestage.Endpoint) {}, onRemoved: func(agatestage.Endpoint) {}, onGuest: func(string, Held) {},
+		services: make(map[string]*serviceState), targets: make(map[string]*target), homes: make(map[string]bool), reported: make(map[string]map[string]bool), leaves: make(map[string]leave),
+		onDown: func(agatestage.Endpoint) {}, onRemoved: func(agatestage.Endpoint) {}, onReadiness: func(agatestage.Endpoint, bool) {}, onGuest: func(string, Held) {},
 	}
 	for _, option := range options {
 		option(scheduler)
@@ -192,7 +195,7 @@
 			known = &target{remote: make(map[string]remote)}
 		}
 		known.Endpoint = endpoint
-		known.tier, known.home = scheduler.tierOf(endpoint), scheduler.homes[endpoint.ID]
+		known.tier, known.home, known.leaving = scheduler.tierOf(endpoint), scheduler.homes[endpoint.ID], scheduler.isLeaving(endpoint)
 		scheduler.targets[endpoint.ID] = known
 		service := scheduler.serviceState(endpoint.Service)
 		service.targets = append(service.targets, known)
--- a/internal/gate/sched/target.go
+++ b/internal/gate/sched/target.go
@@ -45,6 +45,8 @@
 	// true while it is being probed for reachability.
 	down    bool
 	suspect bool
+	// leaving is true if the target has stated that it is leaving.
+	leaving bool
 	// respondingCalls is the number of this gateway's calls on which the target has
 	// sent something; progressed is when it last did on any of them.
 	respondingCalls int
@@ -122,7 +124,7 @@
 
 // usable reports whether the target may receive calls.
 func (target *target) usable() bool {
-	return !target.Draining && !target.down && !target.suspect
+	return !target.Draining && !target.leaving && !target.down && !target.suspect
 }
 
 // stalled reports whether the target has stopped sending on all of this gateway's
--- a/internal/gate/start/clusterview.go
+++ b/internal/gate/start/clusterview.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"k8s.io/klog/v2"
 
 	"github.com/agatestage/agatestage"
@@ -41,16 +42,12 @@
 	// assigning serialises assignments of homes.
 	assigning sync.Mutex
 	mutex     sync.Mutex
-	endpoints []agatestage.Endpoint
 	// homes maps each target to the gateway that is its home.
 	homes map[string]string
 }
 
 // Apply applies a new list of targets.
 func (clusterView *clusterView) Apply(endpoints []agatestage.Endpoint) {
-	clusterView.mutex.Lock()
-	clusterView.endpoints = endpoints
-	clusterView.mutex.Unlock()
 	if clusterView.mesh != nil && clusterView.mesh.Watching() {
 		clusterView.mesh.Announce()
 	}
@@ -58,6 +55,20 @@
 	clusterView.GatewaysChanged()
 }
 
+// readinessChanged reassigns the homes of targets when one is leaving by its own
+// statement, or is used again in spite of it.
+func (clusterView *clusterView) readinessChanged(endpoint agatestage.Endpoint, ready bool) {
+	message := "target says that it is leaving"
+	if ready {
+		message = "target is used again, as it said long ago that it was leaving"
+	} else {
+		metrics.GetOrCreateCounter("agatestage_targets_leaving_total").Inc()
+	}
+	klog.InfoS(message, "target", endpoint.ID, "service", endpoint.Service, "address", endpoint.Address, "zone", endpoint.Zone,
+		"storeOutage", clusterView.StoreOutage())
+	clusterView.GatewaysChanged()
+}
+
 // GatewaysChanged reassigns the homes of targets among the live gateways.
 func (clusterView *clusterView) GatewaysChanged() {
 	if clusterView.mesh == nil {
@@ -67,9 +78,7 @@
 	// assign must have seen both.
 	clusterView.assigning.Lock()
 	defer clusterView.assigning.Unlock()
-	clusterView.mutex.Lock()
-	endpoints := clusterView.endpoints
-	clusterView.mutex.Unlock()
+	endpoints := clusterView.Endpoints()
 	alive := clusterView.mesh.Alive()
 	homes := gossip.AssignHomes(alive, endpoints)
 	own := make(map[string]bool)
