gate/sched: waiting calls are refused at once when no target is left for them

When the last target of a service said that it was leaving, or the list said so, new calls were refused at once (503, NotRun, Retry-After), but those that waited for a slot waited on until their queue timeout, though none could be served. They now get the same refusal at once: the shortest way for a caller to another gateway, or to come back when a new target is listed. A target that is only unreachable or being probed may be back in time, so they wait on for it; batch calls wait for the next target, as a job is accepted once.

The new tests failed before, both: 'Timed out after 10.001s. Expected ... to be closed' (last other one says that it is leaving; is no longer listed).

--- a/internal/gate/sched/leaving.go
+++ b/internal/gate/sched/leaving.go
@@ -44,6 +44,7 @@
 	scheduler.leaves[endpoint.ID] = leave{started: endpoint.Started, until: scheduler.clock.Now().Add(leavingTTL)}
 	if target := scheduler.targets[endpoint.ID]; target != nil {
 		target.leaving = target.leaving || scheduler.isLeaving(target.Endpoint)
+		scheduler.serviceState(target.Service).refuseStranded()
 	}
 	scheduler.mutex.Unlock()
 	if !known || before.started.Before(endpoint.Started) {
--- a/internal/gate/sched/leaving_test.go
+++ b/internal/gate/sched/leaving_test.go
@@ -15,6 +15,9 @@
 // leavingTTL is the bound in package sched.
 const leavingTTL = 2 * time.Minute
 
+// patience bounds what these tests wait for.
+const patience = 10 * time.Second
+
 // started returns a home target that started at a time.
 func started(id string, at int64) agatestage.Endpoint {
 	endpoint := endpoint(id, "near", "a")
@@ -98,7 +101,7 @@
 			defer ginkgo.GinkgoRecover()
 			targets <- fixture.acquireOnline().Target.ID
 		}()
-		gomega.Eventually(func() int { return fixture.QueueLength(service) }, time.Minute).Should(gomega.Equal(1))
+		gomega.Eventually(func() int { return fixture.QueueLength(service) }, patience).Should(gomega.Equal(1))
 		fixture.MarkLeaving(leaver)
 		for _, wanted := range []string{leaver.ID, other.ID} {
 			for _, reservation := range reservations {
@@ -107,7 +110,7 @@
 				}
 			}
 		}
-		gomega.Eventually(targets, time.Minute).Should(gomega.Receive(gomega.Equal(other.ID)))
+		gomega.Eventually(targets, patience).Should(gomega.Receive(gomega.Equal(other.ID)))
 	})
 	ginkgo.It("keeps its running calls", func() {
 		reservations, counts := fixture.fillBatch()
@@ -152,4 +155,23 @@
 		fixture.MarkLeaving(other)
 		fixture.expectRefused(sched.Request{QueueTimeout: time.Hour}, agatestage.CodeNoTarget)
 	})
+	for name, leave := range map[string]func(){
+		"says that it is leaving": func() { fixture.MarkLeaving(other) }, "is no longer listed": func() { fixture.Apply([]agatestage.Endpoint{leaver}) },
+	} {
+		ginkgo.It("has the calls that wait refused at once when the last other one "+name, func() {
+			fixture.MarkLeaving(leaver)
+			for range slots {
+				fixture.acquireOnline()
+			}
+			refused := make(chan struct{})
+			go func() {
+				defer ginkgo.GinkgoRecover()
+				fixture.expectRefused(sched.Request{QueueTimeout: time.Hour}, agatestage.CodeNoTarget)
+				close(refused)
+			}()
+			gomega.Eventually(func() int { return fixture.QueueLength(service) }, patience).Should(gomega.Equal(1))
+			leave()
+			gomega.Eventually(refused, patience).Should(gomega.BeClosed())
+		})
+	}
 })
--- a/internal/gate/sched/queue.go
+++ b/internal/gate/sched/queue.go
@@ -86,8 +86,7 @@
 	var refusal *agatestage.Refusal
 	switch {
 	case !slices.ContainsFunc(service.targets, func(target *target) bool { return target.usable() && !slices.Contains(request.Exclude, target.ID) }):
-		refusal = agatestage.Refuse(agatestage.CodeNoTarget, "no target of service %s can be used", request.Service)
-		expectedWait = service.meanHold
+		return service.noTarget(request.Service)
 	case expectedWait > request.QueueTimeout:
 		refusal = agatestage.Refuse(agatestage.CodeBusy, "all slots of service %s are taken and %d calls wait", request.Service, ahead)
 	default:
@@ -97,6 +96,35 @@
 	return refusal
 }
 
+// noTarget returns the refusal of a call that no target can serve.
+func (service *serviceState) noTarget(name string) *agatestage.Refusal {
+	refusal := agatestage.Refuse(agatestage.CodeNoTarget, "no target of service %s can be used", name)
+	refusal.RetryAfter = max(minRetryAfter, service.meanHold)
+	return refusal
+}
+
+// strandedRefusal returns the refusal of a call that waited when its last target left.
+func (scheduler *Scheduler) strandedRefusal(waiting *waiter) *agatestage.Refusal {
+	scheduler.mutex.Lock()
+	defer scheduler.mutex.Unlock()
+	return scheduler.serviceState(waiting.request.Service).noTarget(waiting.request.Service)
+}
+
+// refuseStranded refuses the waiting online calls for which no target is left but those
+// that are leaving; unreachable ones may come back in time. Batch calls wait for the
+// next target. The mutex must be held.
+func (service *serviceState) refuseStranded() {
+	service.online = slices.DeleteFunc(service.online, func(waiting *waiter) bool {
+		stranded := !slices.ContainsFunc(service.targets, func(target *target) bool {
+			return !target.Draining && !target.leaving && !slices.Contains(waiting.request.Exclude, target.ID)
+		})
+		if stranded {
+			close(waiting.reservation)
+		}
+		return stranded
+	})
+}
+
 // QueueLength returns the number of calls of a service that wait for a slot.
 func (scheduler *Scheduler) QueueLength(name string) int {
 	scheduler.mutex.Lock()
--- a/internal/gate/sched/sched.go
+++ b/internal/gate/sched/sched.go
@@ -97,8 +97,9 @@
 
 // waiter is a call that waits for a slot.
 type waiter struct {
-	request     Request
-	since       time.Time
+	request Request
+	since   time.Time
+	// reservation receives the slot; it is closed if no target is left.
 	reservation chan *Reservation
 	// infeasible says that a batch call cannot finish in time.
 	infeasible bool
@@ -207,6 +208,9 @@
 		}
 	}
 	scheduler.dispatchAll()
+	for _, service := range scheduler.services {
+		service.refuseStranded()
+	}
 	scheduler.mutex.Unlock()
 	for _, endpoint := range removed {
 		scheduler.onRemoved(endpoint)
@@ -277,6 +281,9 @@
 	}
 	select {
 	case reservation := <-waiting.reservation:
+		if reservation == nil {
+			return nil, scheduler.strandedRefusal(waiting)
+		}
 		return reservation, nil
 	case <-ctx.Done():
 	case <-timeout:
@@ -288,6 +295,9 @@
 	if !left {
 		// The slot was assigned at the same moment.
 		reservation := <-waiting.reservation
+		if reservation == nil {
+			return nil, scheduler.strandedRefusal(waiting)
+		}
 		if ctx.Err() == nil {
 			return reservation, nil
 		}
