base/inlet: the check of idle connections doesn't block on a connection that is being read

What callers saw, or could see: a caller closed its end, or sent its next request, while the gateway checked that connection: the check never returned. No idle connection was closed any more, and at the next SIGTERM Stop hung in the same place beyond the drain limit, until SIGKILL cut the running requests off without an answer.

Cause: closeIdle closed the connection with its mutex held. The close of a socket waits until each Read has returned (internal/poll, FD.Close), and a Read that has just been woken waits for the mutex in take.

Evidence: the new test holds the check up between its mutex and the close until the reader waits; it failed before: Timed out after 5.001s. deadlock (race_test.go:60)

Fix: under the mutex the connection is only marked as closed, after which nothing is read from it; the close follows without the mutex.

--- a/internal/base/inlet/conn.go
+++ b/internal/base/inlet/conn.go
@@ -89,16 +89,23 @@
 // closeIdle closes the connection if it has been idle for longer than idleLimit, or new
 // for longer than freshLimit, and nothing of a request has arrived.
 func (conn *conn) closeIdle(idleLimit, freshLimit time.Duration) {
+	if conn.retire(idleLimit, freshLimit) {
+		_ = conn.Close()
+	}
+}
+
+// retire ends the reading of a connection that is to be closed. The close itself waits
+// until Read has returned, which may need the mutex.
+func (conn *conn) retire(idleLimit, freshLimit time.Duration) bool {
 	conn.mutex.Lock()
 	defer conn.mutex.Unlock()
 	passed := conn.server.clock.Since(conn.since)
-	if conn.phase == idle && passed >= idleLimit || conn.phase == fresh && passed >= freshLimit {
-		if !conn.quiet() {
-			return
-		}
-		conn.phase = closed
-		_ = conn.Close()
+	expired := conn.phase == idle && passed >= idleLimit || conn.phase == fresh && passed >= freshLimit
+	if !expired || !conn.quiet() {
+		return false
 	}
+	conn.phase = closed
+	return true
 }
 
 // quiet reports whether nothing of a request has arrived.
--- /dev/null
+++ b/internal/base/inlet/race_test.go
@@ -0,0 +1,66 @@
+package inlet_test
+
+import (
+	"io"
+	"net"
+	"runtime"
+	"strings"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+	clocktest "k8s.io/utils/clock/testing"
+)
+
+// hookedClock calls a function when a connection's age is determined.
+type hookedClock struct {
+	*clocktest.FakeClock
+	hook func()
+}
+
+// Since implements agatestage.Clock.
+func (hookedClock *hookedClock) Since(since time.Time) time.Duration {
+	if hookedClock.hook != nil {
+		hookedClock.hook()
+	}
+	return hookedClock.FakeClock.Since(since)
+}
+
+// awaitReader waits until the server's reader is held up by the check of its connection.
+func awaitReader() {
+	gomega.Eventually(func() bool {
+		stacks := make([]byte, 1<<20)
+		for _, stack := range strings.Split(string(stacks[:runtime.Stack(stacks, true)]), "\n\n") {
+			if strings.Contains(stack, "sync.(*Mutex).Lock") && strings.Contains(stack, "inlet.(*conn).take") {
+				return true
+			}
+		}
+		return false
+	}, "5s").Should(gomega.BeTrue())
+}
+
+var _ = ginkgo.Describe("the check of idle connections, while the server reads", func() {
+	ginkgo.It("ends, though the caller closes its end meanwhile", func() {
+		clock := &hookedClock{FakeClock: clocktest.NewFakeClock(time.Unix(1000, 0))}
+		fixture := newFixture(clock)
+		caller := fixture.dial(true)
+		clock.hook = func() {
+			clock.hook = nil
+			gomega.Expect(caller.Conn.(*net.TCPConn).CloseWrite()).To(gomega.Succeed())
+			awaitReader()
+		}
+		// The connection is idle once the server has read on.
+		gomega.Eventually(func() error {
+			clock.Step(2 * idleLimit)
+			checked := make(chan struct{})
+			go func() {
+				defer close(checked)
+				fixture.CloseIdle()
+			}()
+			gomega.Eventually(checked, "5s").Should(gomega.BeClosed(), "deadlock")
+			_ = caller.SetReadDeadline(time.Now().Add(10 * time.Millisecond))
+			_, err := caller.reader.ReadByte()
+			return err
+		}).Should(gomega.Equal(io.EOF))
+	})
+})
