base/inlet: a connection isn't idle while part of the next request is in the server's buffer

What callers saw, or could see: of two requests that arrived together, or of which the second began to arrive with the first, the second could be cut off, also while it ran at a target, by the check of idle connections or at a stop.

Cause: the phase of a connection follows what is read from its socket. What http.Server has read ahead, into its buffer or as the one byte that it reads while a handler runs, isn't seen: after the first answer the next read that found nothing made the connection idle, though its request was being parsed or had begun to run.

Fix: http.Server says when it has parsed a header (StateActive), from which on the connection is busy; before, a read into less than its whole buffer shows that something is in it.

--- a/internal/base/inlet/conn.go
+++ b/internal/base/inlet/conn.go
@@ -41,6 +41,9 @@
 	// between the data and their note in phase.
 	mutex sync.Mutex
 	phase phase
+	// buffer is the size of the http.Server's buffer. Less of it is left to be read into
+	// while part of the next request is in it.
+	buffer int
 	// since is when the connection was accepted or became idle.
 	since time.Time
 }
@@ -70,10 +73,13 @@
 	if conn.phase == closed {
 		return 0, net.ErrClosed, true
 	}
+	if conn.phase == fresh {
+		conn.buffer = len(data)
+	}
 	n, err = ignoringEINTR(func() (int, error) { return syscall.Read(fd, data) })
 	switch {
 	case errors.Is(err, syscall.EAGAIN):
-		if conn.phase == answered {
+		if conn.phase == answered && len(data) >= conn.buffer {
 			conn.phase, conn.since = idle, conn.server.clock.Now()
 		}
 		return 0, nil, false
@@ -133,14 +139,20 @@
 }
 
 // trackState implements http.Server.ConnState. An answer has been sent when its
-// connection becomes idle for the http.Server.
+// connection becomes idle for the http.Server. The next request may have been read
+// before that.
 func trackState(raw net.Conn, state http.ConnState) {
-	if conn, ok := raw.(*conn); ok && state == http.StateIdle {
-		conn.mutex.Lock()
-		defer conn.mutex.Unlock()
-		if conn.phase == busy {
-			conn.phase = answered
-		}
+	conn, ok := raw.(*conn)
+	if !ok {
+		return
+	}
+	conn.mutex.Lock()
+	defer conn.mutex.Unlock()
+	switch {
+	case state == http.StateIdle && conn.phase == busy:
+		conn.phase = answered
+	case state == http.StateActive && conn.phase != closed:
+		conn.phase = busy
 	}
 }
 
--- a/internal/base/inlet/race_test.go
+++ b/internal/base/inlet/race_test.go
@@ -64,3 +64,34 @@
 		}).Should(gomega.Equal(io.EOF))
 	})
 })
+
+// checkRepeatedly plays many checks, long after the connection could have become idle.
+func (fixture *fixture) checkRepeatedly() {
+	for range 50 {
+		fixture.clock.Step(2 * idleLimit)
+		fixture.CloseIdle()
+		time.Sleep(time.Millisecond)
+	}
+}
+
+var _ = ginkgo.Describe("a request that arrives together with the one before", func() {
+	ginkgo.It("is answered, though connections are checked while it runs", func() {
+		fixture := newFixture(clocktest.NewFakeClock(time.Unix(1000, 0)))
+		caller := fixture.dial(false)
+		caller.send(request + "GET /slow HTTP/1.1\r\nHost: h\r\n\r\n")
+		caller.expectAnswer(false)
+		<-fixture.started
+		fixture.checkRepeatedly()
+		close(fixture.goAhead)
+		caller.expectAnswer(false)
+	})
+	ginkgo.It("is answered, though it is checked while half of it is due", func() {
+		fixture := newFixture(clocktest.NewFakeClock(time.Unix(1000, 0)))
+		caller := fixture.dial(false)
+		caller.send(request + request[:half])
+		caller.expectAnswer(false)
+		fixture.checkRepeatedly()
+		caller.send(request[half:])
+		caller.expectAnswer(false)
+	})
+})
