base/inlet: a kept connection with one to three bytes of a request is closed after the header's limit

What callers saw: nothing. A caller that sent, say, the line break that some clients put after a body, and then nothing, held a descriptor for ever, and let a stopping gateway wait until the drain limit and count a request as unanswered.

Cause: http.Server sets ReadHeaderTimeout once it has read four bytes of the next request; until then the check of idle connections closed it, before. Since then a connection on which anything has been read counts as busy.

Evidence: the new test failed before: 'i/o timeout ... to equal EOF' (race_test.go:106), the caller's patience of 10 s.

Fix: the first bytes after an answer start the same limit.

--- a/internal/base/inlet/conn.go
+++ b/internal/base/inlet/conn.go
@@ -88,6 +88,10 @@
 	case n == 0 && len(data) > 0:
 		return 0, io.EOF, true
 	}
+	if limit := conn.server.http.ReadHeaderTimeout; limit > 0 && (conn.phase == idle || conn.phase == answered) {
+		// http.Server sets its limit only once it has read four bytes.
+		_ = conn.SetReadDeadline(time.Now().Add(limit))
+	}
 	conn.phase = busy
 	return n, nil, true
 }
--- a/internal/base/inlet/inlet_test.go
+++ b/internal/base/inlet/inlet_test.go
@@ -26,6 +26,8 @@
 	idleLimit = time.Minute
 	request   = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
 	half      = len(request) / 2
+	// headerTimeout is how long a caller may take to send a header.
+	headerTimeout = time.Second
 )
 
 // fixture is a server whose handler waits for go-ahead if the path is /slow.
@@ -42,7 +44,7 @@
 	gomega.Expect(err).NotTo(gomega.HaveOccurred())
 	fixture := &fixture{goAhead: make(chan struct{}), started: make(chan struct{}, 1), stopped: make(chan int, 1)}
 	fixture.clock, _ = clock.(*clocktest.FakeClock)
-	fixture.Server = inlet.New("callers", &http.Server{Handler: http.HandlerFunc(fixture.serve)}, listener, clock)
+	fixture.Server = inlet.New("callers", &http.Server{Handler: http.HandlerFunc(fixture.serve), ReadHeaderTimeout: headerTimeout}, listener, clock)
 	fixture.SetIdleLimit(idleLimit)
 	done := make(chan error, 1)
 	go func() { done <- fixture.Serve(context.Background()) }()
--- a/internal/base/inlet/race_test.go
+++ b/internal/base/inlet/race_test.go
@@ -10,6 +10,8 @@
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
 	clocktest "k8s.io/utils/clock/testing"
+
+	"github.com/agatestage/agatestage"
 )
 
 // hookedClock calls a function when a connection's age is determined.
@@ -95,3 +97,12 @@
 		caller.expectAnswer(false)
 	})
 })
+
+var _ = ginkgo.Describe("a kept connection", func() {
+	ginkgo.It("is closed if its caller sends the beginning of a request and then nothing", func() {
+		fixture := newFixture(agatestage.SystemClock())
+		caller := fixture.dial(true)
+		caller.send("\r\n")
+		caller.expectClosed()
+	})
+})
