--- a/internal/base/inlet/conn.go
+++ b/internal/base/inlet/conn.go
@@ -41,6 +41,9 @@
 	// between the data and their note in phase.
 	mutex sync.Mutex
 	phase phase
+	// buffer is the size of the http.Server's buffer. Less of it is left to be read into
+	// while part of the next request is in it.
+	buffer int
 	// since is when the connection was accepted or became idle.
 	since time.Time
 }
@@ -70,10 +73,13 @@
 	if conn.phase == closed {
 		return 0, net.ErrClosed, true
 	}
+	if conn.phase == fresh {
+		conn.buffer = len(data)
+	}
 	n, err = ignoringEINTR(func() (int, error) { return syscall.Read(fd, data) })
 	switch {
 	case errors.Is(err, syscall.EAGAIN):
-		if conn.phase == answered {
+		if conn.phase == answered && len(data) >= conn.buffer {
 			conn.phase, conn.since = idle, conn.server.clock.Now()
 		}
 		return 0, nil, false
@@ -82,6 +88,10 @@
 	case n == 0 && len(data) > 0:
 		return 0, io.EOF, true
 	}
+	if limit := conn.server.http.ReadHeaderTimeout; limit > 0 && (conn.phase == idle || conn.phase == answered) {
+		// http.Server sets its limit only once it has read four bytes.
+		_ = conn.SetReadDeadline(time.Now().Add(limit))
+	}
 	conn.phase = busy
 	return n, nil, true
 }
@@ -89,16 +99,23 @@
 // closeIdle closes the connection if it has been idle for longer than idleLimit, or new
 // for longer than freshLimit, and nothing of a request has arrived.
 func (conn *conn) closeIdle(idleLimit, freshLimit time.Duration) {
+	if conn.retire(idleLimit, freshLimit) {
+		_ = conn.Close()
+	}
+}
+
+// retire ends the reading of a connection that is to be closed. The close itself waits
+// until Read has returned, which may need the mutex.
+func (conn *conn) retire(idleLimit, freshLimit time.Duration) bool {
 	conn.mutex.Lock()
 	defer conn.mutex.Unlock()
 	passed := conn.server.clock.Since(conn.since)
-	if conn.phase == idle && passed >= idleLimit || conn.phase == fresh && passed >= freshLimit {
-		if !conn.quiet() {
-			return
-		}
-		conn.phase = closed
-		_ = conn.Close()
+	expired := conn.phase == idle && passed >= idleLimit || conn.phase == fresh && passed >= freshLimit
+	if !expired || !conn.quiet() {
+		return false
 	}
+	conn.phase = closed
+	return true
 }
 
 // quiet reports whether nothing of a request has arrived.
@@ -126,14 +143,20 @@
 }
 
 // trackState implements http.Server.ConnState. An answer has been sent when its
-// connection becomes idle for the http.Server.
+// connection becomes idle for the http.Server. The next request may have been read
+// before that.
 func trackState(raw net.Conn, state http.ConnState) {
-	if conn, ok := raw.(*conn); ok && state == http.StateIdle {
-		conn.mutex.Lock()
-		defer conn.mutex.Unlock()
-		if conn.phase == busy {
-			conn.phase = answered
-		}
+	conn, ok := raw.(*conn)
+	if !ok {
+		return
+	}
+	conn.mutex.Lock()
+	defer conn.mutex.Unlock()
+	switch {
+	case state == http.StateIdle && conn.phase == busy:
+		conn.phase = answered
+	case state == http.StateActive && conn.phase != closed:
+		conn.phase = busy
 	}
 }
 
