--- a/internal/base/inlet/inlet_test.go
+++ b/internal/base/inlet/inlet_test.go
@@ -28,6 +28,8 @@
 	half      = len(request) / 2
 	// headerTimeout is how long a caller may take to send a header.
 	headerTimeout = time.Second
+	// maxConns is more than the connections of one test, with the attempts of stop.
+	maxConns = 1000
 )
 
 // fixture is a server whose handler waits for go-ahead if the path is /slow.
@@ -37,14 +39,22 @@
 	goAhead chan struct{}
 	started chan struct{}
 	stopped chan int
+	// accepted receives the callers' addresses of accepted connections.
+	accepted chan string
 }
 
 func newFixture(clock agatestage.Clock) *fixture {
 	listener, err := net.ListenTCP("tcp4", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
 	gomega.Expect(err).NotTo(gomega.HaveOccurred())
-	fixture := &fixture{goAhead: make(chan struct{}), started: make(chan struct{}, 1), stopped: make(chan int, 1)}
+	fixture := &fixture{goAhead: make(chan struct{}), started: make(chan struct{}, 1), stopped: make(chan int, 1), accepted: make(chan string, maxConns)}
 	fixture.clock, _ = clock.(*clocktest.FakeClock)
-	fixture.Server = inlet.New("callers", &http.Server{Handler: http.HandlerFunc(fixture.serve), ReadHeaderTimeout: headerTimeout}, listener, clock)
+	fixture.Server = inlet.New("callers", &http.Server{
+		Handler: http.HandlerFunc(fixture.serve), ReadHeaderTimeout: headerTimeout,
+		ConnContext: func(ctx context.Context, conn net.Conn) context.Context {
+			fixture.accepted <- conn.RemoteAddr().String()
+			return ctx
+		},
+	}, listener, clock)
 	fixture.SetIdleLimit(idleLimit)
 	done := make(chan error, 1)
 	go func() { done <- fixture.Serve(context.Background()) }()
@@ -93,6 +103,8 @@
 	gomega.Expect(err).NotTo(gomega.HaveOccurred())
 	gomega.Expect(conn.SetDeadline(time.Now().Add(10 * time.Second))).To(gomega.Succeed())
 	ginkgo.DeferCleanup(conn.Close)
+	// A stop resets connections that the server hasn't accepted yet.
+	gomega.Eventually(fixture.accepted, "5s").Should(gomega.Receive(gomega.Equal(conn.LocalAddr().String())))
 	caller := &caller{Conn: conn, reader: bufio.NewReader(conn)}
 	if kept {
 		caller.send(request)
--- a/internal/base/inlet/race_test.go
+++ b/internal/base/inlet/race_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"runtime"
+	"slices"
 	"strings"
 	"time"
 
@@ -28,12 +29,14 @@
 	return hookedClock.FakeClock.Since(since)
 }
 
-// awaitReader waits until the server's reader is held up by the check of its connection.
-func awaitReader() {
+// awaitStack waits until a goroutine's stack contains all parts and isn't that of a read
+// during an answer.
+func awaitStack(parts ...string) {
 	gomega.Eventually(func() bool {
 		stacks := make([]byte, 1<<20)
 		for _, stack := range strings.Split(string(stacks[:runtime.Stack(stacks, true)]), "\n\n") {
-			if strings.Contains(stack, "sync.(*Mutex).Lock") && strings.Contains(stack, "inlet.(*conn).take") {
+			missing := slices.ContainsFunc(parts, func(part string) bool { return !strings.Contains(stack, part) })
+			if !missing && !strings.Contains(stack, "backgroundRead") {
 				return true
 			}
 		}
@@ -46,10 +49,13 @@
 		clock := &hookedClock{FakeClock: clocktest.NewFakeClock(time.Unix(1000, 0))}
 		fixture := newFixture(clock)
 		caller := fixture.dial(true)
+		// Otherwise the server may still be about to finish the answer.
+		awaitStack("IO wait", "inlet.(*conn).Read")
 		clock.hook = func() {
+			defer ginkgo.GinkgoRecover()
 			clock.hook = nil
 			gomega.Expect(caller.Conn.(*net.TCPConn).CloseWrite()).To(gomega.Succeed())
-			awaitReader()
+			awaitStack("sync.(*Mutex).Lock", "inlet.(*conn).take")
 		}
 		// The connection is idle once the server has read on.
 		gomega.Eventually(func() error {
