gate/sched: a 421 takes only the instance it was meant for out of use

MarkDraining went by ID alone. A call on its way to an earlier start of a target whose old address has been given away gets 421; if the list has named the next start under the same ID meanwhile, at another address, that one was out of use until the list changed again, for long if the store is cut off. It now compares start and address.

The new test failed before: 'batch calls at local-0: map[local-1:3] Expected <bool>: false'.

--- a/internal/gate/relay/attempt.go
+++ b/internal/gate/relay/attempt.go
@@ -123,7 +123,7 @@
 		response.Close()
 	}
 	if info.Replaced {
-		run.sched.MarkDraining(reservation.Target.ID)
+		run.sched.MarkDraining(reservation.Target)
 		return notRun(agatestage.CodeNoTarget, "another incarnation has the address of target %s", reservation.Target.ID)
 	}
 	return notRun(agatestage.CodeBusy, "target %s turned the call away with status %d", reservation.Target.ID, response.Status)
--- a/internal/gate/sched/health.go
+++ b/internal/gate/sched/health.go
@@ -94,10 +94,10 @@
 
 // MarkDraining stops using an incarnation whose address belongs to another one now,
 // until the list of targets is updated.
-func (scheduler *Scheduler) MarkDraining(id string) {
+func (scheduler *Scheduler) MarkDraining(endpoint agatestage.Endpoint) {
 	scheduler.mutex.Lock()
 	defer scheduler.mutex.Unlock()
-	if target := scheduler.targets[id]; target != nil {
+	if target := scheduler.targets[endpoint.ID]; target != nil && target.Address == endpoint.Address && target.Started.Equal(endpoint.Started) {
 		target.Draining = true
 	}
 }
--- a/internal/gate/sched/leaving_test.go
+++ b/internal/gate/sched/leaving_test.go
@@ -129,6 +129,14 @@
 			fixture.expectUsed(next.ID, true)
 		})
 	}
+	ginkgo.It("doesn't take a later instance out of use when its address is given away", func() {
+		next := started(leaver.ID, 6)
+		fixture.Apply([]agatestage.Endpoint{next, other})
+		fixture.MarkDraining(leaver)
+		fixture.expectUsed(next.ID, true)
+		fixture.MarkDraining(next)
+		fixture.expectUsed(next.ID, false)
+	})
 	ginkgo.It("doesn't count as ready any more", func() {
 		_, before := fixture.Backlog()
 		fixture.MarkLeaving(leaver)
