--- a/internal/base/inlet/inlet_test.go
+++ b/internal/base/inlet/inlet_test.go
@@ -28,8 +28,8 @@
 	half      = len(request) / 2
 	// headerTimeout is how long a caller may take to send a header.
 	headerTimeout = time.Second
-	// maxConns is more than the connections of one test, with the attempts of stop.
-	maxConns = 1000
+	// maxConns is more than the connections of one test.
+	maxConns = 10
 )
 
 // fixture is a server whose handler waits for go-ahead if the path is /slow.
@@ -39,6 +39,8 @@
 	goAhead chan struct{}
 	started chan struct{}
 	stopped chan int
+	// served is closed once the server accepts no connections.
+	served chan struct{}
 	// accepted receives the callers' addresses of accepted connections.
 	accepted chan string
 }
@@ -46,7 +48,7 @@
 func newFixture(clock agatestage.Clock) *fixture {
 	listener, err := net.ListenTCP("tcp4", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
 	gomega.Expect(err).NotTo(gomega.HaveOccurred())
-	fixture := &fixture{goAhead: make(chan struct{}), started: make(chan struct{}, 1), stopped: make(chan int, 1), accepted: make(chan string, maxConns)}
+	fixture := &fixture{goAhead: make(chan struct{}), started: make(chan struct{}, 1), stopped: make(chan int, 1), accepted: make(chan string, maxConns), served: make(chan struct{})}
 	fixture.clock, _ = clock.(*clocktest.FakeClock)
 	fixture.Server = inlet.New("callers", &http.Server{
 		Handler: http.HandlerFunc(fixture.serve), ReadHeaderTimeout: headerTimeout,
@@ -56,11 +58,13 @@
 		},
 	}, listener, clock)
 	fixture.SetIdleLimit(idleLimit)
-	done := make(chan error, 1)
-	go func() { done <- fixture.Serve(context.Background()) }()
+	go func() {
+		defer close(fixture.served)
+		_ = fixture.Serve(context.Background())
+	}()
 	ginkgo.DeferCleanup(func() {
 		_ = fixture.Close()
-		gomega.Eventually(done).Should(gomega.Receive())
+		gomega.Eventually(fixture.served, "5s").Should(gomega.BeClosed())
 	})
 	return fixture
 }
@@ -76,13 +80,7 @@
 // stop begins to stop the server and returns once it accepts no connections.
 func (fixture *fixture) stop(ctx context.Context) {
 	go func() { fixture.stopped <- fixture.Stop(ctx) }()
-	gomega.Eventually(func() error {
-		conn, err := net.Dial("tcp4", fixture.Addr().String())
-		if err == nil {
-			_ = conn.Close()
-		}
-		return err
-	}).ShouldNot(gomega.Succeed())
+	gomega.Eventually(fixture.served, "5s").Should(gomega.BeClosed())
 }
 
 func (fixture *fixture) expectStopped(unanswered int) {
