gate/batch: a job that another gateway announces as its own is confirmed

What callers saw, or could see: results that were read at one gateway are missing at the job's former owner, for as long as it lists nothing itself: minutes, if its items wait.

Cause: a gateway decides to take a job over while its owner has no lease, but its write reaches the store later: a TakeOver message on its way, a write without an answer that the store executes seconds later, or a view of the members that is some polls old. If the owner has another lease and has confirmed the job before that, it relies on the job as long as that lease is renewed.

Evidence: 'results listed by the next owner of a job are shown by the former owner, though it confirmed the job under its next lease before' failed before (Expected <[]batch.Result | len:0, cap:0>: nil to have length 1, late_test.go:61).

Fix: the new owner announces the job with its reports (notes). A gateway that runs it takes such a note as doubt: it has the store confirm the head, and is no source until then. It costs one read for each note about a job that runs here; a gateway announces only the last owner that it knows, so that a handover doesn't cause doubt.

What remains: an owner that doesn't receive the notes, for two seconds. To close that, the take-over would have to be conditional on the owner's record of membership in the store.

--- a/internal/gate/batch/notes.go
+++ b/internal/gate/batch/notes.go
@@ -37,6 +37,7 @@
 // handed over; the mutex must be held.
 func (manager *Manager) noteOwner(head Head) {
 	if head.Owner != "" {
+		manager.ownNotes = slices.DeleteFunc(manager.ownNotes, func(note ownNote) bool { return note.Job == head.ID })
 		manager.ownNotes = append(manager.ownNotes, ownNote{Note: Note{Job: head.ID, Owner: head.Owner}, at: manager.clock.Now()})
 	}
 }
@@ -53,12 +54,16 @@
 	return notes
 }
 
-// ReceiveNotes records what another gateway has announced.
+// ReceiveNotes records what another gateway has announced. A job that runs here and is
+// announced to run elsewhere must be confirmed.
 func (manager *Manager) ReceiveNotes(notes []Note) {
 	manager.mutex.Lock()
 	defer manager.mutex.Unlock()
 	now := manager.clock.Now()
 	for _, note := range notes {
+		if owned := manager.jobs[note.Job]; owned != nil && note.Owner != manager.name {
+			owned.doubt()
+		}
 		if len(manager.owners) < maxOwners {
 			manager.owners[note.Job] = announcedOwner{owner: note.Owner, at: now}
 		}
--- a/internal/gate/batch/ownership.go
+++ b/internal/gate/batch/ownership.go
@@ -67,6 +67,14 @@
 	return !stopped && known.Epoch <= observed.Epoch && job.manager.cannotBeTakenOver(confirmed)
 }
 
+// doubt makes the job one that another gateway may have taken over, until the store has
+// confirmed its head again.
+func (job *job) doubt() {
+	job.mutex.Lock()
+	defer job.mutex.Unlock()
+	job.lease = ""
+}
+
 // confirmOwned has the store confirm the heads of the jobs that may have been taken over
 // while this gateway had no lease.
 func (manager *Manager) confirmOwned(ctx context.Context) {
