gate/batch: a job that is handed over late is confirmed before its recipient answers for it

What callers could see: no results at a gateway, though others had listed them. A message that hands a job over may arrive after its recipient has lost its lease and another gateway has taken the job over: from the buffers of a host that was frozen, or as the second attempt. The recipient started the job under its next lease, as if the store had confirmed the head under it, and showed what it had until its next write.

The roster keeps the store's revision at which the record of membership was attached to the lease. A head that is not newer was written before, and such a job starts unconfirmed: the store is asked once. Heads of hand-overs that arrive in time are newer, so no call is added. Ruled out: starting each job that is handed over without a lease (a read for most jobs).

--- a/internal/gate/batch/fixture_test.go
+++ b/internal/gate/batch/fixture_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"net/http"
 	"sync"
 	"time"
@@ -98,7 +99,9 @@
 	outage time.Duration
 	// notWatching says that the gateway doesn't follow the heads.
 	notWatching bool
-	// lease is the gateway's lease, leaseEnd when it ends, if it does.
+	// lease is the gateway's lease, leaseEnd when it ends, if it does. acquired is the
+	// store's revision at which it was acquired.
+	acquired uint64
 	lease    agatestage.Lease
 	leaseEnd time.Time
 }
@@ -124,17 +127,18 @@
 	return !fakeFleet.notWatching
 }
 
-// Lease implements batch.Fleet.
-func (fakeFleet *fakeFleet) Lease() (agatestage.Lease, time.Time) {
+// Hold implements batch.Fleet.
+func (fakeFleet *fakeFleet) Hold() (lease agatestage.Lease, acquired uint64, until time.Time) {
 	fakeFleet.mutex.Lock()
 	defer fakeFleet.mutex.Unlock()
 	if fakeFleet.leaseEnd.IsZero() {
-		return "lease-" + fakeFleet.lease, time.Now().Add(time.Hour)
+		return "lease-" + fakeFleet.lease, fakeFleet.acquired, time.Now().Add(time.Hour)
 	}
-	return "lease-" + fakeFleet.lease, fakeFleet.leaseEnd
+	return "lease-" + fakeFleet.lease, fakeFleet.acquired, fakeFleet.leaseEnd
 }
 
-// setLease gives the gateway another lease or, if it is "", lets the lease end.
+// setLease gives the gateway another lease, under which no head has been written yet, or,
+// if it is "", lets the lease end.
 func (fakeFleet *fakeFleet) setLease(lease agatestage.Lease) {
 	fakeFleet.mutex.Lock()
 	defer fakeFleet.mutex.Unlock()
@@ -142,7 +146,7 @@
 		fakeFleet.leaseEnd = time.Now()
 		return
 	}
-	fakeFleet.lease, fakeFleet.leaseEnd = lease, time.Time{}
+	fakeFleet.lease, fakeFleet.leaseEnd, fakeFleet.acquired = lease, time.Time{}, math.MaxUint64
 }
 
 func (fakeFleet *fakeFleet) StoreOutage() time.Duration {
--- a/internal/gate/batch/manager.go
+++ b/internal/gate/batch/manager.go
@@ -52,9 +52,10 @@
 	Gone(name, instance string) bool
 	// StoreOutage returns how long the store has been failing, or zero.
 	StoreOutage() time.Duration
-	// Lease returns this gateway's lease, "" if it has none, and until when it may rely
-	// on the lease. No other gateway takes over its jobs before.
-	Lease() (agatestage.Lease, time.Time)
+	// Hold returns this gateway's lease, "" if it has none, the store's revision at which
+	// it was acquired, and until when the gateway may rely on it. No other gateway takes
+	// over its jobs before.
+	Hold() (lease agatestage.Lease, acquired uint64, until time.Time)
 	// Watching reports whether this gateway follows the heads of all jobs in the store.
 	// Gateways that don't are sent the heads of the jobs that they are to take over.
 	Watching() bool
--- a/internal/gate/batch/ownership.go
+++ b/internal/gate/batch/ownership.go
@@ -21,18 +21,29 @@
 
 // currentLease returns this gateway's lease, or "" if it has none or may not rely on it.
 func (manager *Manager) currentLease() agatestage.Lease {
-	lease, until := manager.fleet.Lease()
+	lease, _, until := manager.fleet.Hold()
 	if !manager.clock.Now().Before(until) {
 		return ""
 	}
 	return lease
 }
 
+// leaseOf returns this gateway's lease if another gateway's write of a head was executed
+// under it, else "": a message that hands a job over may arrive after its recipient has
+// lost the lease and the job.
+func (manager *Manager) leaseOf(head versionedHead) agatestage.Lease {
+	lease, acquired, until := manager.fleet.Hold()
+	if head.version <= acquired || !manager.clock.Now().Before(until) {
+		return ""
+	}
+	return lease
+}
+
 // cannotBeTakenOver reports whether no gateway can have taken over a job whose head the
 // store confirmed under a lease: because that lease holds, or because it held when the
 // store went out for all gateways.
 func (manager *Manager) cannotBeTakenOver(confirmed agatestage.Lease) bool {
-	lease, until := manager.fleet.Lease()
+	lease, _, until := manager.fleet.Hold()
 	if confirmed == "" || lease != confirmed {
 		return false
 	}
--- a/internal/gate/batch/scheduled_host_test.go
+++ b/internal/gate/batch/scheduled_host_test.go
@@ -42,6 +42,8 @@
 	follows bool
 	lease   int
 	until   time.Time
+	// acquired is the store's revision at which the lease was acquired.
+	acquired uint64
 }
 
 func (host *scheduledHost) state() (trouble, <-chan struct{}) {
@@ -138,11 +140,11 @@
 	return 0
 }
 
-// Lease implements batch.Fleet.
-func (host *scheduledHost) Lease() (agatestage.Lease, time.Time) {
+// Hold implements batch.Fleet.
+func (host *scheduledHost) Hold() (lease agatestage.Lease, acquired uint64, until time.Time) {
 	host.schedule.mutex.Lock()
 	defer host.schedule.mutex.Unlock()
-	return agatestage.Lease(fmt.Sprint(host.lease)), host.until
+	return agatestage.Lease(fmt.Sprint(host.lease)), host.acquired, host.until
 }
 
 // Watching implements batch.Fleet.
@@ -220,6 +222,7 @@
 	if host.linked() && host.trouble != refused {
 		if now.After(host.until) {
 			host.lease++
+			_, host.acquired, _ = host.Store.List(context.Background(), "hosts/")
 		}
 		host.until = now.Add(scheduleHold)
 		host.health.RecordRenewal(nil)
--- a/internal/gate/batch/takeover.go
+++ b/internal/gate/batch/takeover.go
@@ -257,7 +257,7 @@
 		klog.ErrorS(err, "job head from another gateway can't be decoded", "key", handover.Record.Key)
 		return
 	}
-	lease := manager.currentLease()
+	lease := manager.leaseOf(observed)
 	manager.mutex.Lock()
 	job := manager.cacheHeadLocked(observed)
 	newest := manager.heads[observed.ID].version == observed.version
--- a/internal/gate/start/clusterview.go
+++ b/internal/gate/start/clusterview.go
@@ -198,11 +198,9 @@
 	return gateways
 }
 
-// Lease implements batch.Fleet.
-func (clusterView *clusterView) Lease() (agatestage.Lease, time.Time) {
-	// Read in the other order, the time of a new lease could be taken for that of an old one.
-	until := clusterView.roster.Until()
-	return clusterView.roster.Lease(), until
+// Hold implements batch.Fleet.
+func (clusterView *clusterView) Hold() (lease agatestage.Lease, acquired uint64, until time.Time) {
+	return clusterView.roster.Hold()
 }
 
 // Gone implements batch.Fleet.
--- a/internal/state/member/roster.go
+++ b/internal/state/member/roster.go
@@ -51,7 +51,9 @@
 	mutex         sync.Mutex
 	lease         agatestage.Lease
 	leaseDeadline time.Time
-	members       map[string]Member
+	// joined is the store's revision at which the record was attached to the lease.
+	joined  uint64
+	members map[string]Member
 	// revision is the store's revision of the newest change of members that is known.
 	revision uint64
 	// addresses holds the last known address of every entry that was ever a member.
@@ -100,6 +102,14 @@
 	return roster.self
 }
 
+// Hold returns this entry's lease, the store's revision at which its record was attached
+// to the lease, and until when this entry may rely on it.
+func (roster *Roster) Hold() (lease agatestage.Lease, joined uint64, until time.Time) {
+	roster.mutex.Lock()
+	defer roster.mutex.Unlock()
+	return roster.lease, roster.joined, roster.leaseDeadline
+}
+
 // Until returns the time until which this entry may rely on its lease.
 func (roster *Roster) Until() time.Time {
 	roster.mutex.Lock()
@@ -236,7 +246,7 @@
 	if lease != "" {
 		err := roster.store.Renew(ctx, lease)
 		if err == nil {
-			roster.setLease(lease, sent)
+			roster.setLease(lease, 0, sent)
 			return nil
 		}
 		if !errors.Is(err, agatestage.ErrNoLease) {
@@ -265,20 +275,21 @@
 		// A previous run of this entry left a record whose lease hasn't expired yet.
 		version = record.Version
 	}
-	if _, err = roster.store.Swap(ctx, key, version, data, lease); err != nil {
+	if version, err = roster.store.Swap(ctx, key, version, data, lease); err != nil {
 		return err
 	}
-	roster.setLease(lease, sent)
+	roster.setLease(lease, version, sent)
 	return nil
 }
 
-func (roster *Roster) setLease(lease agatestage.Lease, sent time.Time) {
+// setLease records a lease that was renewed or, at the revision joined, acquired.
+func (roster *Roster) setLease(lease agatestage.Lease, joined uint64, sent time.Time) {
 	roster.mutex.Lock()
 	defer roster.mutex.Unlock()
 	if roster.left {
 		return
 	}
-	roster.lease, roster.leaseDeadline = lease, sent.Add(holdTime)
+	roster.lease, roster.leaseDeadline, roster.joined = lease, sent.Add(holdTime), max(roster.joined, joined)
 }
 
 // Serve watches the members' records until ctx ends.
