gate/batch: a job that stayed after a failed hand-over can't be taken away by the late write

A gateway that takes back a job after a write of unknown outcome now writes the head under the next epoch instead of only reading it, so that the late write, which demands the version before, is refused. One write more after such a failure, none else. Writes of results that are cut off in a move count as well. In the commit loop nothing is needed: there the same write is tried again on the same version until it is known which was executed.

--- a/internal/gate/batch/job.go
+++ b/internal/gate/batch/job.go
@@ -340,6 +340,7 @@
 		if err := job.commit(ctx); errors.Is(err, errHeadChanged) {
 			return
 		} else if err != nil {
+			job.manager.noteWrite(job.head.ID, err)
 			klog.InfoS("results not written before the stop", "job", job.head.ID, "error", err.Error())
 			ticks.Wait(ctx, job.manager.clock, commitRetryDelay)
 		}
--- a/internal/gate/batch/manager.go
+++ b/internal/gate/batch/manager.go
@@ -80,7 +80,9 @@
 	heads       map[string]versionedHead
 	jobs        map[string]*job
 	// claimed holds the jobs that are being submitted, taken over or moved here.
-	claimed   map[string]bool
+	claimed map[string]bool
+	// unfenced holds the jobs with a write of this process that the store may yet execute.
+	unfenced  map[string]bool
 	snapshots map[string]*snapshot
 	draining  bool
 	// changed is closed when any head changes.
@@ -135,7 +137,7 @@
 	manager := &Manager{
 		name: self.Name, instance: self.Instance, region: self.Region, clock: clock, jobStore: &jobStore{store: store, clock: clock},
 		runner: runner, rules: holder, fleet: fleet, storeHealth: feeds.NewStoreHealth(clock), duty: feeds.NewDuty(), fingerprint: fingerprint,
-		heads: make(map[string]versionedHead), jobs: make(map[string]*job), claimed: make(map[string]bool), snapshots: make(map[string]*snapshot),
+		heads: make(map[string]versionedHead), jobs: make(map[string]*job), claimed: make(map[string]bool), unfenced: make(map[string]bool), snapshots: make(map[string]*snapshot),
 		changed: make(chan struct{}), peers: noPeers{}, placements: make(map[string]placement), assigned: make(map[string]time.Time), unchanged: make(map[string]headAge), owners: make(map[string]announcedOwner), startedAt: clock.Now(), meanItemTime: initialItemTime, meanItemEvents: initialItemEvents,
 	}
 	manager.ctx, manager.stop = context.WithCancel(context.Background())
--- a/internal/gate/batch/place.go
+++ b/internal/gate/batch/place.go
@@ -80,6 +80,7 @@
 	}
 	written, err := manager.jobStore.writeHead(ctx, before, head, writes...)
 	if err != nil {
+		manager.noteWrite(head.ID, err)
 		klog.InfoS("job not handed over; it will be taken over later", "job", head.ID, "error", err.Error())
 		return
 	}
--- a/internal/gate/batch/stale_test.go
+++ b/internal/gate/batch/stale_test.go
@@ -2,12 +2,16 @@
 
 import (
 	"context"
+	"strings"
+	"sync"
 	"time"
 
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
+	"github.com/pkg/errors"
 
 	"github.com/agatestage/agatestage"
+	"github.com/agatestage/agatestage/internal/fake/store"
 	"github.com/agatestage/agatestage/internal/gate/batch"
 	"github.com/agatestage/agatestage/internal/gate/feeds"
 )
@@ -43,6 +47,56 @@
 	return owner, reader, fleet, spec
 }
 
+// lateStore fails the first commit that gives a job to the second gateway, and executes it
+// once late is closed.
+type lateStore struct {
+	*store.Store
+	once     sync.Once
+	late     chan struct{}
+	executed chan error
+}
+
+// Commit implements agatestage.Transactor.
+func (lateStore *lateStore) Commit(ctx context.Context, conditions []agatestage.Condition, writes []agatestage.Write) (version uint64, err error) {
+	held := false
+	if strings.Contains(string(writes[0].Value), `"Owner":"`+second.Name+`"`) {
+		lateStore.once.Do(func() { held = true })
+	}
+	if !held {
+		return lateStore.Store.Commit(ctx, conditions, writes)
+	}
+	go func() {
+		<-lateStore.late
+		_, err := lateStore.Store.Commit(context.Background(), conditions, writes)
+		lateStore.executed <- err
+	}()
+	return 0, errors.New("no reply")
+}
+
+var _ = ginkgo.Describe("a hand-over that the store executes late", func() {
+	ginkgo.It("doesn't take the job from its owner, which has gone on with it", func() {
+		fixture := newFixture()
+		overloaded, idle := first, second
+		overloaded.Backlog, overloaded.Slots, idle.Slots = 100, 10, 10
+		fixture.fakeFleet.setAlive(overloaded)
+		late := &lateStore{Store: fixture.store, late: make(chan struct{}), executed: make(chan error, 1)}
+		fixture.front = late
+		fixture.fakeRunner.hold = make(chan struct{})
+		owner, _ := fixture.start(first, blind())
+		spec := fixture.spec("job", 1)
+		gomega.Expect(owner.Submit(context.Background(), spec)).To(gomega.Succeed())
+		gomega.Eventually(func() int { return fixture.fakeRunner.runCount("job-0") }, waitTimeout).Should(gomega.Equal(1))
+		fixture.fakeFleet.setAlive(overloaded, idle)
+		// The job is to move, and runs here again since the write seems to have failed.
+		gomega.Eventually(func() int { return fixture.fakeRunner.runCount("job-0") }, waitTimeout).Should(gomega.Equal(2))
+		fixture.fakeFleet.setAlive(first, second)
+		close(late.late)
+		gomega.Eventually(late.executed, waitTimeout).Should(gomega.Receive(gomega.MatchError(agatestage.ErrConflict)))
+		close(fixture.fakeRunner.hold)
+		expectDone(owner, spec)
+	})
+})
+
 var _ = ginkgo.Describe("results listed by the next owner of a job", func() {
 	ginkgo.It("are shown by a gateway that asks the former owner", func() {
 		_, reader, _, spec := startOwners(newFixture())
--- a/internal/gate/batch/takeover.go
+++ b/internal/gate/batch/takeover.go
@@ -96,6 +96,11 @@
 			delete(manager.assigned, id)
 		}
 	}
+	for id := range manager.unfenced {
+		if head, known := manager.heads[id]; !known || !head.Open() {
+			delete(manager.unfenced, id)
+		}
+	}
 	for id := range manager.unchanged {
 		if head, known := manager.heads[id]; !known || !head.Open() {
 			delete(manager.unchanged, id)
@@ -186,6 +191,11 @@
 			manager.cacheHead(taken)
 			return
 		}
+		if err == nil && manager.isUnfenced(orphan.ID) {
+			next := taken.Head
+			next.Epoch++
+			taken, err = manager.jobStore.writeHead(ctx, taken, next)
+		}
 	} else {
 		next := orphan.Head
 		next.Owner, next.Instance, next.Epoch = manager.name, manager.instance, next.Epoch+1
@@ -199,6 +209,7 @@
 		klog.InfoS("job not taken over", "job", orphan.ID, "error", err.Error())
 		return
 	}
+	manager.fence(orphan.ID)
 	head := taken.Head
 	var items []Item
 	var stored []Result
@@ -225,6 +236,32 @@
 	manager.startJobLocked(taken, lease, items, stored, progress)
 }
 
+// noteWrite records that a write of a job's head has failed, and may be executed later
+// unless the error says that it won't be.
+func (manager *Manager) noteWrite(id string, err error) {
+	if errors.Is(err, agatestage.ErrUnavailable) || errors.Is(err, errHeadChanged) {
+		return
+	}
+	manager.mutex.Lock()
+	defer manager.mutex.Unlock()
+	manager.unfenced[id] = true
+}
+
+// isUnfenced reports whether the store may yet execute a write of this process for a job,
+// unless the job's head changes before.
+func (manager *Manager) isUnfenced(id string) bool {
+	manager.mutex.Lock()
+	defer manager.mutex.Unlock()
+	return manager.unfenced[id]
+}
+
+// fence records that the head has changed, so that earlier writes won't be executed.
+func (manager *Manager) fence(id string) {
+	manager.mutex.Lock()
+	defer manager.mutex.Unlock()
+	delete(manager.unfenced, id)
+}
+
 // taken ends the claim on a job, so that it may be taken over or moved again.
 func (manager *Manager) taken(id string) {
 	manager.mutex.Lock()
