batch/claims: sides that were sent no work are asked again when items return

Sides ask only entries that list work. An entry announces the list when it has changed since the last announcement, but a side is also sent the list of the moment with each policy: when it connects, when the configuration changes, and when an announcement reaches it late. If all items were running then, it got an empty list, and when items returned to the queue later, the list equalled the one last announced, so nothing was sent. With all sides in that state, returned items waited until the configuration changed or their block was followed by another.

Now a policy lists an announced model as long as it has unfinished jobs here, so it doesn't contradict the last announcement, and the entry remembers if it has sent a side another list (when the jobs had ended), so that the next change is announced. Ruled out: announcing again after each empty list that was sent; in the tail of a job with preemptions, each returned item would send a policy to each side. announce is called without the lock, as the fleet calls Work while it holds its own.

Evidence: with the list of the moment and without the record, as before, 'go test ./internal/batch/claims' failed in TestSideThatIsSentTheListWhileAllItemsRunAsksForThoseThatReturn ('nil to equal [{Model: "model", Due: 0}]') and TestWorkIsAnnouncedAgainAfterItWasWithdrawnOrASideWasSentThatThereIsNone ('Expected false to be true'). The tests are on the record of what was sent; no test runs an entry with a side into this state.

--- a/internal/batch/claims/dispatcher.go
+++ b/internal/batch/claims/dispatcher.go
@@ -38,6 +38,7 @@
 	// served is the number of items dispatched for each organisation, divided by its
 	// weight.
 	served map[string]float64
+	notice notice
 	claims map[*claim]struct{}
 }
 
@@ -57,13 +58,19 @@
 	return dispatcher
 }
 
-// Work returns the models that have waiting items, each with the earliest due
-// time among its jobs. Entries announce it to sides.
-func (dispatcher *Dispatcher) Work() (work []calls.Work) {
+// Work returns the models that have waiting items, or had when all sides were last
+// sent an announcement and have unfinished jobs, each with the earliest due time
+// among its jobs. Entries send it to sides.
+func (dispatcher *Dispatcher) Work() []calls.Work {
+	return dispatcher.notice.sent(dispatcher.listWork)
+}
+
+// listWork returns the models that have waiting items, and those of also that have jobs.
+func (dispatcher *Dispatcher) listWork(also map[string]bool) (work []calls.Work) {
 	seen := make(map[string]bool)
 	for _, job := range dispatcher.manager.Jobs() {
 		head := job.Head()
-		if seen[head.Model] || job.Waiting() == 0 {
+		if seen[head.Model] || job.Waiting() == 0 && !also[head.Model] {
 			continue
 		}
 		seen[head.Model] = true
@@ -73,22 +80,12 @@
 }
 
 // Announcer returns a function that calls announce if the list of models with
-// waiting items has changed since the function was last called.
+// waiting items isn't the one that sides were last sent.
 func (dispatcher *Dispatcher) Announcer(announce func()) func() {
-	var mutex sync.Mutex
-	last := ""
 	return func() {
-		mutex.Lock()
-		defer mutex.Unlock()
-		current := ""
-		for _, work := range dispatcher.Work() {
-			current += work.Model + "\x00"
-		}
-		if current == last {
-			return
+		if dispatcher.notice.due(dispatcher.listWork) {
+			announce()
 		}
-		last = current
-		announce()
 	}
 }
 
