batch/owner: an item is owed however many targets went down under it

On entries and sides a batch item was listed as failed once two targets had gone down while they ran it, also one that was only running beside another. The users: "Items that are handed in for later are never requests that crash servers by themselves: an item under which servers crashed is still owed."

Now a lost target neither fails an item nor counts as a failed attempt. A delayed item is in none of the other sets, so others and the refill go on; it isn't done, so the job stays; cancelling and draining drop it as they drop ready items; a new owner begins the count anew. Ruled out: retrying at once (four engines would be gone in a second); a pause for the whole job.

Suspect is kept: a side refuses a second suspect only while another holds or awaits a slot, and each release clears the mark (side/slots, read), so it defers an item, but doesn't bar it. It lets items that were lost together be lost apart.

--- a/internal/batch/owner/commit.go
+++ b/internal/batch/owner/commit.go
@@ -264,6 +264,7 @@
 	job.mutex.Lock()
 	job.cancelling = true
 	job.buffer, job.ready = nil, nil
+	clear(job.delayed)
 	job.mutex.Unlock()
 	job.revoke(job.entry.Head.ID)
 	signal(job.wake)
--- a/internal/batch/owner/job.go
+++ b/internal/batch/owner/job.go
@@ -30,12 +30,9 @@
 	// is read.
 	readAheadItems = 256
 	// maxAttempts bounds the failed attempts of an item. Attempts that were
-	// returned, for example because they gave way to online calls, or that certainly
-	// didn't run, don't count.
+	// returned, for example because they were preempted by online calls, that
+	// certainly didn't run or whose target went down don't count.
 	maxAttempts = 4
-	// maxLostTargets is the number of targets that must go down while running an
-	// item for the item to fail.
-	maxLostTargets = 2
 	// maxGroupDelay and maxGroupLines bound a group of results by time and size.
 	maxGroupDelay = 20 * time.Millisecond
 	maxGroupLines = 512
@@ -55,8 +52,8 @@
 
 // Job is one job that this entry owns.
 //
-// Invariants: an item is in at most one of ready, inflight and unacknowledged; an
-// item whose done bit is set is in none of them; a done bit is set only after all
+// Invariants: an item is in at most one of ready, inflight, delayed and
+// unacknowledged; an item whose done bit is set is in none of them; a done bit is set only after all
 // copies have acknowledged the result.
 type Job struct {
 	sites    *sites.Sites
@@ -71,10 +68,12 @@
 	nextBlock int
 	ready     []Item
 	inflight  map[int]Item
-	// attempts counts the failed attempts of each item; lostTargets holds the
-	// targets that went down while running it.
-	attempts    map[int]int
-	lostTargets map[int]map[string]bool
+	// delayed holds the items that are not dispatched until their delay has passed.
+	delayed map[int]Item
+	// attempts counts the failed attempts of each item, losses those whose target
+	// went down.
+	attempts map[int]int
+	losses   map[int]int
 	// done has a bit for each item with a result; doneCount is the number of set
 	// bits, failed the number of failed results among them.
 	done      *bitset.BitSet
@@ -102,7 +101,7 @@
 	items := uint(entry.Head.Items)
 	return &Job{
 		sites: manager.sites, registry: manager.registry, clock: manager.clock, epoch: entry.Head.Epoch, entry: entry,
-		inflight: make(map[int]Item), attempts: make(map[int]int), lostTargets: make(map[int]map[string]bool), unacknowledged: make(map[int]bool),
+		inflight: make(map[int]Item), delayed: make(map[int]Item), attempts: make(map[int]int), losses: make(map[int]int), unacknowledged: make(map[int]bool),
 		done: bitset.New(items), finished: make(chan struct{}),
 		wake: make(chan struct{}, 1), refill: make(chan struct{}, 1),
 		changed: manager.Changed, revoke: manager.Revoke,
@@ -217,14 +216,18 @@
 		return
 	}
 	if job.shouldRetry(number, outcome) {
-		job.requeue(number)
+		if delay := job.lossDelay(number, outcome); delay > 0 {
+			job.delay(number, delay)
+		} else {
+			job.requeue(number)
+		}
 		job.mutex.Unlock()
 		job.changed()
 		return
 	}
 	delete(job.inflight, number)
 	delete(job.attempts, number)
-	delete(job.lostTargets, number)
+	delete(job.losses, number)
 	job.unacknowledged[number] = true
 	job.buffer = append(job.buffer, resultLine(job.entry.Head.ID, item, outcome))
 	job.mutex.Unlock()
@@ -234,18 +237,14 @@
 // shouldRetry counts a failed attempt and reports whether the item should be
 // retried; the mutex is held.
 func (job *Job) shouldRetry(number int, outcome calls.ItemResult) bool {
-	// A target that was down before the item reached it says nothing about the item.
-	if outcome.Returned || (outcome.Refusal != nil && outcome.Refusal.Ran == agatestage.RanNo) {
+	if !ran(outcome) {
 		return true
 	}
+	// Items never crash targets by themselves: one that ran at a target that went
+	// down is still owed.
 	if outcome.TargetLost {
-		if job.lostTargets[number] == nil {
-			job.lostTargets[number] = make(map[string]bool)
-		}
-		job.lostTargets[number][outcome.Target] = true
-		if len(job.lostTargets[number]) >= maxLostTargets {
-			return false
-		}
+		job.losses[number]++
+		return true
 	}
 	if !transient(outcome) {
 		return false
@@ -254,6 +253,12 @@
 	return job.attempts[number] < maxAttempts
 }
 
+// ran reports whether an attempt says something about its item: it was not returned,
+// and may have run.
+func ran(outcome calls.ItemResult) bool {
+	return !outcome.Returned && (outcome.Refusal == nil || outcome.Refusal.Ran != agatestage.RanNo)
+}
+
 // transient reports whether another attempt may have another outcome.
 func transient(outcome calls.ItemResult) bool {
 	if outcome.Refusal != nil {
@@ -265,7 +270,7 @@
 // suspect reports whether a target went down while running the item; the mutex is
 // held.
 func (job *Job) suspect(number int) bool {
-	return len(job.lostTargets[number]) > 0
+	return job.losses[number] > 0
 }
 
 // Run reads items and writes results until the job has ended, another entry owns
--- a/internal/batch/owner/manager.go
+++ b/internal/batch/owner/manager.go
@@ -226,10 +226,11 @@
 	}
 }
 
-// pauseItems discards the ready items and stops reading more.
+// pauseItems discards the ready and the delayed items and stops reading more.
 func (job *Job) pauseItems() {
 	job.mutex.Lock()
 	defer job.mutex.Unlock()
 	job.ready = nil
+	clear(job.delayed)
 	job.nextBlock = len(job.blocks)
 }
