gate/batch: an item isn't given up by a gateway whose configuration is older than its job

Cause: a job is placed at the gateway with the least load at once, or taken over by another one. If that gateway's configuration doesn't have the job's route yet, which a new version has added or moved, it concluded that the route had ended. In the second after a new version gateways differ, and one that has lost the store may be behind for longer.

Fix: the head says which version of the configuration accepted the job; a gateway with an older one waits, as one without any configuration does. Heads of the version before have none and behave as before.

--- a/internal/gate/batch/record.go
+++ b/internal/gate/batch/record.go
@@ -73,10 +73,12 @@
 	ID           string
 	Organisation string
 	Route        string
-	Host         string
-	Region       string
-	Items        int
-	Parts        int
+	// ConfigVersion is the version of the configuration that had the route.
+	ConfigVersion uint64
+	Host          string
+	Region        string
+	Items         int
+	Parts         int
 	// Digest identifies the input.
 	Digest string
 	// Submitted is when the job arrived, Due when its results are due, and GiveUp
--- a/internal/gate/batch/run.go
+++ b/internal/gate/batch/run.go
@@ -89,11 +89,11 @@
 	}
 }
 
-// route returns the current route of the item. Known is false if no configuration is
-// in force yet: a gateway that has just started may read jobs before it.
+// route returns the current route of the item. Known is false if the configuration in
+// force, if any, is older than the job: it may not have the route yet.
 func (job *job) route(item *Item) (route *rules.Route, known, ok bool) {
 	snapshot := job.manager.rules.Current()
-	if snapshot == nil {
+	if snapshot == nil || snapshot.Version() < job.head.ConfigVersion {
 		return nil, false, false
 	}
 	path, _, _ := strings.Cut(item.Path, "?")
--- a/internal/gate/batch/submit.go
+++ b/internal/gate/batch/submit.go
@@ -20,8 +20,10 @@
 	ID           string
 	Organisation string
 	Route        *rules.Route
-	Host         string
-	Items        []Item
+	// ConfigVersion is the version of a configuration that has the route. Submit sets it.
+	ConfigVersion uint64
+	Host          string
+	Items         []Item
 	// Arrived is when the submission was received.
 	Arrived time.Time
 	// forwarded is true if the job was submitted to another gateway, which can't reach
@@ -58,6 +60,9 @@
 	if err != nil {
 		return agatestage.Refuse(agatestage.CodeBadRequest, "%v", err)
 	}
+	if spec.ConfigVersion == 0 {
+		spec.ConfigVersion = manager.rules.Version()
+	}
 	manager.mutex.Lock()
 	known, ok := manager.heads[spec.ID]
 	busy := manager.claimed[spec.ID]
@@ -85,7 +90,7 @@
 	}
 	owner := manager.placeJob(spec.ID, len(spec.Items))
 	head := Head{
-		ID: spec.ID, Organisation: spec.Organisation, Route: spec.Route.Name, Host: spec.Host, Region: manager.region,
+		ID: spec.ID, Organisation: spec.Organisation, Route: spec.Route.Name, ConfigVersion: spec.ConfigVersion, Host: spec.Host, Region: manager.region,
 		Items: len(spec.Items), Parts: len(parts), Digest: digest, State: StateOpen,
 		Submitted: spec.Arrived.UTC(), Due: spec.Arrived.Add(spec.Route.Due).UTC(), GiveUp: spec.Arrived.Add(giveUp).UTC(),
 		Owner: owner.Name, Instance: owner.Instance, Epoch: 1,
