platform: a job is read though its host has lost its last route

What callers could see: 404 for a job that had been accepted, for its results, its items' bodies and its end, once a new version had removed the last route of its host, or at a gateway whose configuration was behind (LOST).

Cause: the batch job API checked first that some route has the request's host. Callers are told apart by their key, and a job that isn't the organisation's is unknown to it, so the check protected nothing; it is gone.

--- a/internal/gate/rules/rules.go
+++ b/internal/gate/rules/rules.go
@@ -218,11 +218,6 @@
 	return services
 }
 
-// HasHost reports whether a route exists for the host.
-func (snapshot *Snapshot) HasHost(host string) bool {
-	return len(snapshot.routesByHost[host]) > 0
-}
-
 // Service returns a service by its name.
 func (snapshot *Snapshot) Service(name string) (Service, bool) {
 	service, ok := snapshot.services[name]
