--- a/internal/gate/batch/stale_test.go
+++ b/internal/gate/batch/stale_test.go
@@ -120,7 +120,7 @@
 	ginkgo.It("can't exist while the store is out for all, so that the owner answers beyond its lease", func() {
 		fixture := newFixture()
 		fixture.fakeFleet.setAlive(first, second)
-		owner, _ := fixture.start(first)
+		owner, _ := fixture.start(first, blind())
 		fixture.fakeRunner.hold = make(chan struct{})
 		spec := fixture.spec("job", 1)
 		gomega.Expect(owner.Submit(context.Background(), spec)).To(gomega.Succeed())
