--- a/internal/gate/batch/ownership.go
+++ b/internal/gate/batch/ownership.go
@@ -71,7 +71,7 @@
 }
 
 // isOwned reports whether what this gateway knows of the job is certainly all that there
-// is, as the job has ended or nobody else can have taken it over. Known is the newest head
+// is: the job has ended, or no other gateway can have taken it over. Known is the newest head
 // that this gateway has seen.
 func (job *job) isOwned(known versionedHead) bool {
 	job.mutex.Lock()
