route/blame, gate/relay, entry/relay: the log names the body under which a target went down

"target went down" named only the call, so logs could not tell a request that is excused by a common cause from one whose strikes are missing, nor show that the calls of two gateways had one body. It now has the body's fingerprint, how many targets went down under it, and how many of them count; entries write the line, too. No logic changed; the tests of route, gate/relay and entry pass.

--- a/internal/entry/relay/relay.go
+++ b/internal/entry/relay/relay.go
@@ -15,6 +15,7 @@
 
 	"github.com/google/uuid"
 	"github.com/pkg/errors"
+	"k8s.io/klog/v2"
 
 	"github.com/agatestage/agatestage"
 	"github.com/agatestage/agatestage/internal/entry/fleet"
@@ -172,7 +173,10 @@
 // recordStrike records a strike against a call whose target was lost while it ran
 // the call, and sends the strike to the other entries.
 func (relay *Relay) recordStrike(ctx context.Context, call *agatestage.Call, candidate agatestage.Candidate) {
-	relay.strike(ctx, relay.blame.Charge(call, candidate.Target))
+	strike := relay.blame.Charge(call, candidate.Target)
+	lost, counted := relay.blame.Counts(strike.Fingerprint)
+	klog.InfoS("target went down", "target", candidate.Target, "call", call.ID, "body", blame.Name(strike.Fingerprint), "lost", lost, "counted", counted)
+	relay.strike(ctx, strike)
 }
 
 // mayRetry reports whether another attempt is allowed.
--- a/internal/gate/relay/probe.go
+++ b/internal/gate/relay/probe.go
@@ -10,6 +10,7 @@
 
 	"github.com/agatestage/agatestage"
 	"github.com/agatestage/agatestage/internal/base/ticks"
+	"github.com/agatestage/agatestage/internal/route/blame"
 )
 
 const (
@@ -28,8 +29,11 @@
 	go func() {
 		err := run.dial(endpoint)
 		if refused(err) {
-			klog.InfoS("target went down", "target", endpoint.ID, "address", endpoint.Address, "call", call.ID)
-			run.strike(run.blame.Charge(call, endpoint.ID))
+			strike := run.blame.Charge(call, endpoint.ID)
+			lost, counted := run.blame.Counts(strike.Fingerprint)
+			klog.InfoS("target went down", "target", endpoint.ID, "address", endpoint.Address, "call", call.ID,
+				"body", blame.Name(strike.Fingerprint), "lost", lost, "counted", counted)
+			run.strike(strike)
 		}
 		run.conclude(endpoint, err)
 	}()
--- a/internal/route/blame/blame.go
+++ b/internal/route/blame/blame.go
@@ -14,6 +14,7 @@
 package blame
 
 import (
+	"strconv"
 	"sync"
 	"time"
 
@@ -47,6 +48,9 @@
 	Age time.Duration
 }
 
+// Name returns the fingerprint as logs show it.
+func Name(fingerprint uint64) string { return strconv.FormatUint(fingerprint, 16) }
+
 // record holds the strikes of one request.
 type record struct {
 	// targets holds when each target was lost while running the request.
@@ -156,6 +160,17 @@
 	return count
 }
 
+// Counts returns the number of targets that were lost while running the request, and how
+// many of them count, as no common cause is assumed for them.
+func (list *List) Counts(fingerprint uint64) (lost, counted int) {
+	list.mutex.Lock()
+	defer list.mutex.Unlock()
+	if record := list.records[fingerprint]; record != nil {
+		lost = len(record.targets)
+	}
+	return lost, list.strikes(fingerprint)
+}
+
 // Suspect reports whether the request has a strike.
 func (list *List) Suspect(fingerprint uint64) bool {
 	list.mutex.Lock()
