gate/relay: strikes that come in while a call waits for a slot count

Callers saw: a request under which three targets had ended was sent to more, if its calls waited for a slot meanwhile.

Cause: the list of harmful requests was asked before the wait for a slot, and not after it; within a stream that had begun its answer didn't count. Class: a decision is taken on what was known before a wait. Ruled out: asking only after the wait (a request that can't be sent would wait for nothing); ending waiting calls when a strike comes in (a second way to the same end).

Change: a call is asked about before it waits, and again when it has its slot, which it gives back if it is refused, as not run. Trials are asked for only with a slot. A stream that has begun isn't resumed under a refusal, either.

Test: four calls that wait while the body's three strikes come in. Before: all four sent (5 requests at the target, 1 expected). After: none, refused as not run. gate/relay's specs of harmful requests pass.

Not covered: calls that wait at a side (entry path) for its target.

--- a/internal/gate/relay/harmful_test.go
+++ b/internal/gate/relay/harmful_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"fmt"
+	"net/http"
 	"sync"
 
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
 
+	"github.com/agatestage/agatestage"
 	"github.com/agatestage/agatestage/internal/gate/relay"
 )
 
@@ -74,4 +76,35 @@
 			gomega.Expect(sent(targets) - before).To(gomega.BeNumerically("<=", maxAfterThird))
 		})
 	}
+	ginkgo.It("isn't sent when it gets a slot for which it waited while they ended", func() {
+		holding := make(chan struct{})
+		last := newTarget(func(exchange *exchange) bool {
+			<-holding
+			return exchange.respond(http.StatusOK, "good")
+		})
+		fixture := newFixture(last)
+		fixture.setSlots(1)
+		var calls sync.WaitGroup
+		calls.Go(func() { _, _ = fixture.sendOther("other", attempts(1)) })
+		gomega.Eventually(last.requests, deadline).Should(gomega.Equal(1))
+		results := make(chan relay.Result, 4)
+		for range 4 {
+			calls.Go(func() {
+				plan := attempts(1)
+				plan.QueueTimeout = deadline
+				result, _ := fixture.serve(plan)
+				results <- result
+			})
+		}
+		gomega.Eventually(func() int { return fixture.sched.QueueLength(service) }, deadline).Should(gomega.Equal(4))
+		for i := range 3 {
+			fixture.list.Charge(&agatestage.Call{Fingerprint: fingerprint}, fmt.Sprint("ended-", i))
+		}
+		close(holding)
+		calls.Wait()
+		gomega.Expect(last.requests()).To(gomega.Equal(1))
+		for range 4 {
+			expectRefusal(<-results, agatestage.RanNo)
+		}
+	})
 })
--- a/internal/gate/relay/relay.go
+++ b/internal/gate/relay/relay.go
@@ -194,11 +194,7 @@
 		}
 	}()
 	for {
-		if err := run.blame.Admit(ctx, run.call); err != nil && !run.result.ResponseStarted {
-			run.fail(asRefusal(err))
-			return
-		}
-		reservation, err := run.acquire(ctx)
+		reservation, err := run.admit(ctx)
 		if err != nil {
 			run.fail(asRefusal(err))
 			return
@@ -248,6 +244,23 @@
 	}
 }
 
+// admit waits for a slot, and returns a refusal if targets have gone down under the
+// request before or meanwhile.
+func (run *run) admit(ctx context.Context) (*sched.Reservation, error) {
+	if err := run.blame.Check(run.call); err != nil {
+		return nil, err
+	}
+	reservation, err := run.acquire(ctx)
+	if err != nil {
+		return nil, err
+	}
+	if err = run.blame.Admit(ctx, run.call); err != nil {
+		reservation.Release(false)
+		return nil, err
+	}
+	return reservation, nil
+}
+
 // acquire waits for a slot. A call that has been sent before waits no longer than a
 // new one.
 func (run *run) acquire(ctx context.Context) (*sched.Reservation, error) {
--- a/internal/route/blame/quarantine.go
+++ b/internal/route/blame/quarantine.go
@@ -74,6 +74,9 @@
 	return err
 }
 
+// Check returns a refusal if the call must not wait for a slot, as it could not be sent.
+func (list *List) Check(call *agatestage.Call) error { return list.Refuse(blamed(call)) }
+
 // Admit returns a refusal if the call must not be sent now. It updates whether the call is
 // a suspect or on trial, for which it may ask for permission.
 func (list *List) Admit(ctx context.Context, call *agatestage.Call) error {
