gate/relay: a retry waits until it is known whether the last target has ended

Callers saw: one call of a request that ends its targets ended as many as its route has attempts; a stream went on to the next target each time.

Cause: a target whose connection broke is probed 20 ms later, and the strike follows from that; the retry was placed at once. Class: an action is taken before the evidence that forbids it can be there. Ruled out: a strike at once that is taken back if the probe connects (the others would refuse sound requests for each reset connection).

Change: a retry after a broken exchange waits for the probe, 100 ms at most. One that was moved away from a silent target goes on at once, as its slot is held.

Test: one call with 3 and 4 attempts, and a stream of 4 attempts whose targets each end after one event. Before: 3, 4 and 4 targets. After: 2 each.

--- a/internal/gate/relay/harmful_test.go
+++ b/internal/gate/relay/harmful_test.go
@@ -107,4 +107,29 @@
 			expectRefusal(<-results, agatestage.RanNo)
 		}
 	})
+	for count := 3; count <= 4; count++ {
+		ginkgo.It(fmt.Sprintf("isn't sent to a third target by one call with %d attempts", count), func() {
+			targets := endingTargets(4)
+			_, _ = newFixture(targets...).serve(attempts(count))
+			gomega.Expect(sent(targets)).To(gomega.Equal(2))
+		})
+	}
+	ginkgo.It("isn't resumed in a stream that has begun before the second ended", func() {
+		var targets []*target
+		for i := range 4 {
+			var ending *target
+			ending = newTarget(func(exchange *exchange) bool {
+				exchange.events(i+1, i+1)
+				_ = ending.listener.Close()
+				return false
+			})
+			targets = append(targets, ending)
+		}
+		fixture := newFixture(targets...)
+		plan := stream()
+		plan.Attempts = 4
+		result, _ := fixture.serve(plan)
+		gomega.Expect(result.Refusal).NotTo(gomega.BeNil())
+		gomega.Expect(sent(targets)).To(gomega.Equal(2))
+	})
 })
--- a/internal/gate/relay/probe.go
+++ b/internal/gate/relay/probe.go
@@ -19,14 +19,19 @@
 	// crashProbeDelay is the time between an interrupted response and the attempt
 	// to connect to the target, which distinguishes a crash from a mere interruption.
 	crashProbeDelay = 20 * time.Millisecond
+	// crashCheckTimeout is how long a retry waits for the result: the delay and a round trip
+	// between regions.
+	crashCheckTimeout = 100 * time.Millisecond
 )
 
 // checkCrash probes a target whose connection broke or fell silent. If its host refuses
 // connections, the target ended while it ran the call, and an online call is blamed. A
-// dial that times out shows nothing: a sound target may be silent for a while.
-func (run *run) checkCrash(endpoint agatestage.Endpoint) {
-	call := run.call
+// dial that times out shows nothing: a sound target may be silent for a while. The returned
+// channel is closed once that is known.
+func (run *run) checkCrash(endpoint agatestage.Endpoint) (known <-chan struct{}) {
+	call, done := run.call, make(chan struct{})
 	go func() {
+		defer close(done)
 		err := run.dial(endpoint)
 		if refused(err) {
 			strike := run.blame.Charge(call, endpoint.ID)
@@ -37,6 +42,23 @@
 		}
 		run.conclude(endpoint, err)
 	}()
+	return done
+}
+
+// awaitCheck waits until it is known whether the last target has ended, so that the next
+// one isn't chosen for a request that ends it, too. A call whose next slot is held already
+// goes on.
+func (run *run) awaitCheck(ctx context.Context, known <-chan struct{}) {
+	if run.next != nil {
+		return
+	}
+	timer := run.clock.NewTimer(crashCheckTimeout)
+	defer timer.Stop()
+	select {
+	case <-known:
+	case <-timer.C():
+	case <-ctx.Done():
+	}
 }
 
 // dial tries to connect to a target. The target gets no new calls until conclude is
--- a/internal/gate/relay/relay.go
+++ b/internal/gate/relay/relay.go
@@ -206,8 +206,9 @@
 		end := run.attempt(ctx, reservation)
 		reservation.Release(end.failed)
 		run.result.SlotTime += run.clock.Since(began)
+		var known <-chan struct{}
 		if end.crashed {
-			run.checkCrash(reservation.Target)
+			known = run.checkCrash(reservation.Target)
 		}
 		if end.done {
 			if run.result.Preempted {
@@ -232,6 +233,9 @@
 			run.fail(end.refusal)
 			return
 		}
+		if end.crashed {
+			run.awaitCheck(ctx, known)
+		}
 	}
 }
 
