gate/relay: a target that ends within an event of a stream without a length gives a strike

Callers saw: nothing; a request that ends its targets within an event of such a stream was never suspected.

Cause: a stream whose end is the connection's and that stops within an event failed its call, but didn't count as a target that may be down, so that nothing was probed. Class: one way for a target to end isn't noticed as one. Ruled out: probing after each malformed stream (a chunked one has shown that its target goes on).

--- a/internal/gate/relay/attempt.go
+++ b/internal/gate/relay/attempt.go
@@ -220,7 +220,7 @@
 func (run *run) finishStream(ctx context.Context, response *conns.TargetResponse, scanner *scanner, watchdog *watchdog) outcome {
 	if scanner.partial() {
 		end := broken(agatestage.CodeTargetFailed, "the stream ended within an event")
-		end.failed = true
+		end.failed, end.crashed = true, response.EndsWithConnection()
 		return end
 	}
 	if err := run.checkEnd(ctx, response, watchdog.reservation.Target); err != nil {
--- a/internal/gate/relay/harmful_test.go
+++ b/internal/gate/relay/harmful_test.go
@@ -132,4 +132,17 @@
 		gomega.Expect(result.Refusal).NotTo(gomega.BeNil())
 		gomega.Expect(sent(targets)).To(gomega.Equal(2))
 	})
+	ginkgo.It("gets a strike if a target ends within an event of a stream whose end is the connection's", func() {
+		var ending *target
+		ending = newTarget(func(exchange *exchange) bool {
+			exchange.write("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: yes\r\nContent-Type: text/event-stream\r\n\r\n%sid: 2\nda", headerID, exchange.id, headerMark, event(1))
+			_ = ending.listener.Close()
+			return false
+		})
+		fixture := newFixture(ending)
+		plan := plan()
+		plan.Stream = true
+		_, _ = fixture.serve(plan)
+		gomega.Expect(fixture.receiveStrike().Fingerprint).To(gomega.BeEquivalentTo(fingerprint))
+	})
 })
