gate/gossip, entry/peers: strikes reach gateways and entries that start or are back later

Callers saw: a request under which several targets had ended was sent again by a gateway that had started, or had been cut off, since.

Cause: a strike was broadcast for 2 s in datagrams, by the gateway that had recorded it, and kept in memory only. Entries sent it once, with 1.2 s to take it. Class: news that stays true is sent as an event only. Ruled out: strikes in the store (a call each while targets crash, and none reaches a gateway that is cut off from it); asking each new gateway's peers once (misses one that was cut off).

Single strikes are still sent for 2 s only: they bar nothing.

--- a/internal/entry/peers/mesh.go
+++ b/internal/entry/peers/mesh.go
@@ -54,6 +54,8 @@
 	Revision uint64
 	// StoreSilence is the time since the store last answered this entry.
 	StoreSilence time.Duration
+	// Strikes holds those of requests in quarantine, which the recipient may have missed.
+	Strikes []blame.Strike `cbor:",omitempty"`
 }
 
 // receivedStatus is the last status received from a peer.
@@ -94,7 +96,7 @@
 	if at := mesh.feed.StoreAnsweredAt(); !at.IsZero() {
 		silence = mesh.clock.Since(at)
 	}
-	return Status{Name: mesh.roster.Self().Name, Revision: mesh.feed.Current().Revision, StoreSilence: silence}
+	return Status{Name: mesh.roster.Self().Name, Revision: mesh.feed.Current().Revision, StoreSilence: silence, Strikes: mesh.blame.Known()}
 }
 
 // RecordStatus records a peer's status.
@@ -102,6 +104,9 @@
 	mesh.mutex.Lock()
 	mesh.peers[status.Name] = receivedStatus{status: status, receivedAt: mesh.clock.Now()}
 	mesh.mutex.Unlock()
+	for _, strike := range status.Strikes {
+		mesh.blame.Add(strike)
+	}
 }
 
 // otherEntries returns the addresses of the other entries: those on the host
--- a/internal/gate/gossip/fleet_test.go
+++ b/internal/gate/gossip/fleet_test.go
@@ -90,6 +90,7 @@
 	held    map[string]sched.Held
 	counts  map[string]tally.Count
 	strikes []blame.Strike
+	list    *blame.List
 	// heldBy, countsOf and changes are what was received.
 	heldBy   map[string]map[string]sched.Held
 	countsOf map[string]map[string]tally.Count
@@ -100,8 +101,10 @@
 func (source *playedSource) Counts(bool) map[string]tally.Count { return source.counts }
 func (source *playedSource) Strike(strike blame.Strike) {
 	source.strikes = append(source.strikes, strike)
+	source.list.Add(strike)
 }
-func (source *playedSource) GatewaysChanged() { source.changes++ }
+func (source *playedSource) KnownStrikes() []blame.Strike { return source.list.Known() }
+func (source *playedSource) GatewaysChanged()             { source.changes++ }
 
 func (source *playedSource) ReceiveHeld(gateway string, held map[string]sched.Held) {
 	source.heldBy[gateway] = held
@@ -176,7 +179,7 @@
 	fleet.network.mutex.Lock()
 	fleet.network.rosters[self.Address] = roster
 	fleet.network.mutex.Unlock()
-	source := &playedSource{heldBy: make(map[string]map[string]sched.Held), countsOf: make(map[string]map[string]tally.Count)}
+	source := &playedSource{list: blame.New(fleet.clock), heldBy: make(map[string]map[string]sched.Held), countsOf: make(map[string]map[string]tally.Count)}
 	source.held, source.counts = make(map[string]sched.Held), make(map[string]tally.Count)
 	for n := range fleet.entries {
 		source.held[fmt.Sprint("target-", i, "-", n)] = sched.Held{Online: i, Batch: n}
--- a/internal/gate/gossip/gossip.go
+++ b/internal/gate/gossip/gossip.go
@@ -104,8 +104,10 @@
 	ConfigOverdue() bool
 	// WatchingChanged is called when this gateway begins or ends to follow the store.
 	WatchingChanged(watching bool)
-	// Strike receives a strike that another gateway has recorded.
+	// Strike receives a strike that another gateway knows of. KnownStrikes returns
+	// those of requests in quarantine, for gateways that have missed them.
 	Strike(strike blame.Strike)
+	KnownStrikes() []blame.Strike
 	// PermitTrial decides whether a request under which targets went down may run on trial
 	// now.
 	PermitTrial(inquiry blame.Inquiry) bool
--- a/internal/gate/gossip/mesh_test.go
+++ b/internal/gate/gossip/mesh_test.go
@@ -51,6 +51,7 @@
 func (*fakeSource) Config() []byte                                       { return nil }
 func (*fakeSource) OfferConfig([]byte)                                   {}
 func (*fakeSource) Strike(blame.Strike)                                  {}
+func (*fakeSource) KnownStrikes() []blame.Strike                         { return nil }
 func (*fakeSource) GatewaysChanged()                                     {}
 func (*fakeSource) Notes() []batch.Note                                  { return nil }
 func (*fakeSource) ReceiveNotes([]batch.Note)                            {}
--- a/internal/gate/gossip/send.go
+++ b/internal/gate/gossip/send.go
@@ -26,7 +26,7 @@
 	reportNotes   = 12
 	// envelopeBytes is the size of a packet without its reports, at most.
 	envelopeBytes = 16
-	// strikeTime is how long a strike is part of the state.
+	// strikeTime is how long a strike is part of each message.
 	strikeTime = 2 * time.Second
 	// maxPassedOn bounds the reports that wait to be passed on.
 	maxPassedOn = 1024
@@ -99,14 +99,17 @@
 	return append(packets, reports[first:])
 }
 
-// ownReports returns this gateway's state, with the counts of all organisations or only
-// of those near their limits. Reports that are too large for a packet, because some names
+// ownReports returns this gateway's state, with the counts of all organisations and all
+// strikes that matter, or only the counts near limits and recent strikes. Reports that are too large for a packet, because some names
 // are long, are divided further.
 func (mesh *Mesh) ownReports(all bool) (encoded []cbor.RawMessage) {
 	state, held, counts, notes := mesh.ownState(), mesh.source.Held(), mesh.source.Counts(all), mesh.source.Notes()
 	mesh.mutex.Lock()
 	strikes := mesh.recentStrikes()
 	mesh.mutex.Unlock()
+	if all {
+		strikes = append(strikes, mesh.source.KnownStrikes()...)
+	}
 	for share := 1; share <= reportTargets; share *= 2 {
 		encoded = encoded[:0]
 		for _, report := range divideState(state, held, counts, strikes, notes, share) {
--- a/internal/gate/start/clusterview.go
+++ b/internal/gate/start/clusterview.go
@@ -175,6 +175,9 @@
 	}
 }
 
+// KnownStrikes implements gossip.Source.
+func (clusterView *clusterView) KnownStrikes() []blame.Strike { return clusterView.blame.Known() }
+
 // PermitTrial implements gossip.Source.
 func (clusterView *clusterView) PermitTrial(inquiry blame.Inquiry) bool {
 	return clusterView.blame.PermitTrial(inquiry)
