gate/relay: a request whose caller leaves before its target ends gets a strike

Callers saw: nothing, they had left; a request that ends its targets was never suspected if its callers gave up early.

Cause: a call that was cancelled ended without a look at its target. Class: as before, one way for a target to end isn't noticed.

--- a/internal/gate/relay/harmful_test.go
+++ b/internal/gate/relay/harmful_test.go
@@ -1,6 +1,7 @@
 package relay_test
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"sync"
@@ -145,4 +146,29 @@
 		_, _ = fixture.serve(plan)
 		gomega.Expect(fixture.receiveStrike().Fingerprint).To(gomega.BeEquivalentTo(fingerprint))
 	})
+	for name, suspect := range map[string]bool{"and the next call finds it": false, "a second time": true} {
+		ginkgo.It("gets a strike if its caller leaves before its target ends, "+name, func() {
+			arrived := make(chan struct{})
+			var ending *target
+			ending = newTarget(func(exchange *exchange) bool {
+				_ = ending.listener.Close()
+				close(arrived)
+				return stall(exchange)
+			})
+			fixture := newFixture(ending)
+			if suspect {
+				fixture.list.Charge(&agatestage.Call{Fingerprint: fingerprint}, "another")
+			}
+			ctx, leave := context.WithCancel(context.Background())
+			go func() {
+				<-arrived
+				leave()
+			}()
+			_, _ = fixture.sendUntil(ctx, "call", attempts(1))
+			if !suspect {
+				_, _ = fixture.sendOther("other", attempts(1))
+			}
+			gomega.Expect(fixture.receiveStrike().Fingerprint).To(gomega.BeEquivalentTo(fingerprint))
+		})
+	}
 })
--- a/internal/gate/relay/probe.go
+++ b/internal/gate/relay/probe.go
@@ -10,7 +10,6 @@
 
 	"github.com/agatestage/agatestage"
 	"github.com/agatestage/agatestage/internal/base/ticks"
-	"github.com/agatestage/agatestage/internal/route/blame"
 )
 
 const (
@@ -34,11 +33,7 @@
 		defer close(done)
 		err := run.dial(endpoint)
 		if refused(err) {
-			strike := run.blame.Charge(call, endpoint.ID)
-			lost, counted := run.blame.Counts(strike.Fingerprint)
-			klog.InfoS("target went down", "target", endpoint.ID, "address", endpoint.Address, "call", call.ID,
-				"body", blame.Name(strike.Fingerprint), "lost", lost, "counted", counted)
-			run.strike(strike)
+			run.blameFor(call, endpoint)
 		}
 		run.conclude(endpoint, err)
 	}()
@@ -85,6 +80,9 @@
 // markUnreachable takes a target out of use to which a dial failed.
 func (relay *Relay) markUnreachable(endpoint agatestage.Endpoint, cause error) {
 	if refused(cause) {
+		for _, call := range relay.abandoned.take(endpoint.ID, relay.clock.Now()) {
+			relay.blameFor(call, endpoint)
+		}
 		relay.sched.MarkDown(endpoint.ID)
 	} else {
 		relay.sched.MarkSilent(endpoint.ID)
--- a/internal/gate/relay/relay.go
+++ b/internal/gate/relay/relay.go
@@ -111,6 +111,8 @@
 	dialect agatestage.Dialect
 	blame   *blame.List
 	strike  func(blame.Strike)
+
+	abandoned abandonedCalls
 }
 
 // Option configures a relay.
@@ -217,6 +219,8 @@
 			run.result.Refusal = end.refusal
 			if end.refusal == nil {
 				run.reportCompletion()
+			} else if !end.notRun && !run.result.Preempted {
+				run.abandon(reservation.Target)
 			}
 			return
 		}
