platform, test/whole: answers cut off within their head, at each byte, on both paths

Why: net/http takes a head only with the line that ends it, and success is passed on only with the target's mark. Read only: messages between gateways, which are sealed datagrams or framed records with checks of their own.

--- a/test/whole/broken_test.go
+++ b/test/whole/broken_test.go
@@ -50,6 +50,14 @@
 		_, _ = io.WriteString(conn, streamHead+"\r\n"+begunStream)
 		_ = listener.Close()
 	}
+	for i, head := range cutHeads {
+		for n := range len(head) + 1 {
+			for _, reset := range []bool{false, true} {
+				target.answers[cutPath(i, n, false, reset)] = cut(head[:n], false, reset)
+				target.answers[cutPath(i, n, true, reset)] = cut(head[:n], true, reset)
+			}
+		}
+	}
 	for _, status := range oddStatuses {
 		target.answers["/status-"+status] = write("HTTP/1.1 " + status + " X\r\nContent-Length: 4\r\n\r\ntext")
 	}
@@ -58,6 +66,37 @@
 	return target
 }
 
+// cutHeads holds heads of answers without the line that ends them.
+var cutHeads = []string{
+	"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 4\r\n",
+	streamHead + "Transfer-Encoding: chunked\r\n",
+	streamHead,
+	"HTTP/1.1 204 No Content\r\nServer: s\r\n",
+	"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: l\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n",
+}
+
+// cutPath is the path whose answer is the first n bytes of a cut head, followed by a close
+// or a reset at once or after cutSilence.
+func cutPath(head, n int, silent, reset bool) string {
+	return fmt.Sprintf("/cut-%d-%d-%t-%t", head, n, silent, reset)
+}
+
+// cutSilence is how long a target is silent within a head before it closes.
+const cutSilence = 300 * time.Millisecond
+
+// cut returns the answer of a target that sends a part of a head.
+func cut(part string, silent, reset bool) func(conn *net.TCPConn) {
+	return func(conn *net.TCPConn) {
+		_, _ = io.WriteString(conn, part)
+		if silent {
+			<-time.After(cutSilence)
+		}
+		if reset {
+			_ = conn.SetLinger(0)
+		}
+	}
+}
+
 var oddStatuses = []string{"000", "001", "099", "101"}
 
 func (target *rawTarget) serve() {
@@ -127,6 +166,24 @@
 			}
 		}
 	})
+	ginkgo.It("within its head is a refusal for its caller, whatever byte it ends at", func() {
+		rig := newRig()
+		rig.startRawTarget()
+		expectRefused := func(path string) {
+			answer := rig.ask("HTTP/1.1", path)
+			gomega.Expect(answer.complete).To(gomega.BeTrue(), "%s: %q", path, answer.raw)
+			gomega.Expect(answer.status).To(gomega.Equal(http.StatusBadGateway), "%s: %q", path, answer.raw)
+			expectRefusal(answer.body, agatestage.CodeTargetFailed, agatestage.RanUnknown)
+		}
+		for i, head := range cutHeads {
+			for n := range len(head) + 1 {
+				expectRefused(cutPath(i, n, false, n%2 == 0))
+			}
+			for _, n := range []int{len(head) / 2, len(head)} {
+				expectRefused(cutPath(i, n, true, n%2 == 0))
+			}
+		}
+	})
 	ginkgo.It("and whose status is none, leaves its caller a refusal", func() {
 		rig := newRig()
 		rig.startRawTarget()
