base/inlet, entry/front, route/blame: a typed refusal at the end of a stop; fewer strikes a message

Entries returned without an answer for a request whose context had ended, which the server's guard then answered as plain text; given up in a stop, its caller waits and gets the typed refusal. At most 16 strikes a message instead of 64, drawn anew each time: 64 would be 20 KB/s a gateway by their size, over the 6 KB/s for control.

Tests: a handler that only returns at the end of a stop (504, connection closed); 50 requests in quarantine become known through messages of 16 (a bound of one minute, reached within milliseconds). base/inlet, route/blame, entry and gate/gossip (strikes, trial) pass.

--- a/internal/base/inlet/exchange.go
+++ b/internal/base/inlet/exchange.go
@@ -113,7 +113,7 @@
 // answerGivenUp answers a request that was given up if its handler hasn't: returning
 // would be an empty success.
 func (answer *answer) answerGivenUp(ctx context.Context) {
-	if context.Cause(ctx) == errGivenUp && !answer.begun.Load() {
+	if GivenUp(ctx) && !answer.begun.Load() {
 		http.Error(answer, http.StatusText(http.StatusGatewayTimeout), http.StatusGatewayTimeout)
 	}
 }
--- a/internal/base/inlet/exchange_test.go
+++ b/internal/base/inlet/exchange_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"bytes"
+	"context"
 	"io"
 	"net"
 	"net/http"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/onsi/ginkgo/v2"
@@ -115,3 +117,20 @@
 	}
 	gomega.Expect(err).To(gomega.MatchError(io.ErrUnexpectedEOF))
 }
+
+var _ = ginkgo.Describe("a request without an answer at the end of a stop", func() {
+	ginkgo.It("gets a failure, though its handler only returns", func() {
+		fixture := newFixture(agatestage.SystemClock())
+		caller := fixture.dial(true)
+		caller.send("GET /until-cancelled HTTP/1.1\r\nHost: h\r\n\r\n")
+		<-fixture.started
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		fixture.stop(ctx)
+		response, err := http.ReadResponse(caller.reader, nil)
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		gomega.Expect(response.StatusCode).To(gomega.Equal(http.StatusGatewayTimeout))
+		gomega.Expect(response.Close).To(gomega.BeTrue())
+		fixture.expectStopped(0)
+	})
+})
--- a/internal/base/inlet/inlet_test.go
+++ b/internal/base/inlet/inlet_test.go
@@ -83,6 +83,10 @@
 		context.AfterFunc(request.Context(), func() { fixture.cancelled <- struct{}{} })
 		fixture.started <- struct{}{}
 		<-fixture.goAhead
+	case "/until-cancelled":
+		fixture.started <- struct{}{}
+		<-request.Context().Done()
+		return
 	case "/abort":
 		panic(http.ErrAbortHandler)
 	case "/panic":
--- a/internal/base/inlet/left.go
+++ b/internal/base/inlet/left.go
@@ -12,7 +12,7 @@
 // goroutine of its own has read the close, which the handler may outrun.
 func CallerLeft(ctx context.Context) bool {
 	conn, ok := ctx.Value(connKey{}).(*conn)
-	return ctx.Err() != nil && context.Cause(ctx) != errGivenUp || ok && conn.checkEnd()
+	return ctx.Err() != nil && !GivenUp(ctx) || ok && conn.checkEnd()
 }
 
 // checkEnd reports whether the caller has closed or reset the connection and everything it
@@ -26,3 +26,7 @@
 	}
 	return false
 }
+
+// GivenUp reports whether the request has been cancelled because its server is being
+// stopped. Its caller waits for an answer.
+func GivenUp(ctx context.Context) bool { return context.Cause(ctx) == errGivenUp }
--- a/internal/entry/front/front.go
+++ b/internal/entry/front/front.go
@@ -189,7 +189,7 @@
 		front.observe(call.Organisation, route.Name, "", startedAt, sink)
 		return
 	}
-	if request.Context().Err() != nil {
+	if request.Context().Err() != nil && !inlet.GivenUp(request.Context()) {
 		// The caller has disconnected, which is not an error of the system.
 		return
 	}
--- a/internal/route/blame/blame.go
+++ b/internal/route/blame/blame.go
@@ -19,6 +19,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"strconv"
 	"sync"
@@ -187,11 +188,12 @@
 	return losses[first:after]
 }
 
-// maxKnown bounds what Known returns.
-const maxKnown = 64
+// maxKnown bounds what Known returns at a time, and so the bytes that are sent of it.
+const maxKnown = 16
 
 // Known returns the strikes and completions of the requests that are or were in
-// quarantine, for others that may have missed them.
+// quarantine, for others that may have missed them; of many, some that are drawn anew each
+// time.
 func (list *List) Known() (known []Strike) {
 	list.mutex.Lock()
 	defer list.mutex.Unlock()
@@ -208,8 +210,11 @@
 			known = append(known, Strike{Completed: fingerprint, Age: now.Sub(record.completedAt)})
 		}
 	}
-	slices.SortFunc(known, func(a, b Strike) int { return int(a.Age - b.Age) })
-	return known[:min(len(known), maxKnown)]
+	if len(known) > maxKnown {
+		rand.Shuffle(len(known), func(i, j int) { known[i], known[j] = known[j], known[i] })
+		known = known[:maxKnown]
+	}
+	return known
 }
 
 // Counts returns the number of targets that were lost while running the request, and on
--- a/internal/route/blame/quarantine_test.go
+++ b/internal/route/blame/quarantine_test.go
@@ -202,6 +202,32 @@
 	expect.Expect(list.Refuse(1)).NotTo(gomega.Succeed())
 }
 
+func TestStrikesOfManyRequestsAreAllKnownInTime(t *testing.T) {
+	expect := gomega.NewWithT(t)
+	list, clock := newList()
+	other := New(clock)
+	const requests = 50
+	for fingerprint := range uint64(requests) {
+		for _, target := range []string{"a", "b"} {
+			list.Add(Strike{Fingerprint: fingerprint + 1, Target: target})
+		}
+	}
+	refused := func() (count int) {
+		known := list.Known()
+		expect.Expect(len(known)).To(gomega.BeNumerically("<=", maxKnown))
+		for _, strike := range known {
+			other.Add(strike)
+		}
+		for fingerprint := range uint64(requests) {
+			if other.Refuse(fingerprint+1) != nil {
+				count++
+			}
+		}
+		return count
+	}
+	expect.Eventually(refused, time.Minute, time.Microsecond).Should(gomega.Equal(requests))
+}
+
 func TestPermissionOfATrialKnowsTheInquirersStrikes(t *testing.T) {
 	expect := gomega.NewWithT(t)
 	owner, clock := newList()
