gate/relay: a retry waits for the probe itself, which is bounded

The wait of 100 ms that came with it could pass on a busy host before the probe had ended, and the next target was chosen without its result.

--- a/internal/gate/gossip/schedule.go
+++ b/internal/gate/gossip/schedule.go
@@ -20,7 +20,7 @@
 	zoneRate  = 80
 	outerRate = 40
 	// allCountsPeriod is the period of messages with the counts of all active
-	// organisations and all strikes that matter.
+	// organisations and the strikes of all requests in quarantine.
 	allCountsPeriod = 500 * time.Millisecond
 	// repairAfter is how long a gateway must not have been heard before it is asked for
 	// its state directly: the gateways that should pass it on may know others. At most
@@ -44,7 +44,7 @@
 // delivery is a message that is due now.
 type delivery struct {
 	addresses []netip.AddrPort
-	// all says that it has the counts of all organisations and all strikes that matter.
+	// all says that it has the counts of all organisations and the strikes of all requests in quarantine.
 	all bool
 	// relay and reply are those of the packet.
 	relay bool
--- a/internal/gate/gossip/send.go
+++ b/internal/gate/gossip/send.go
@@ -99,9 +99,10 @@
 	return append(packets, reports[first:])
 }
 
-// ownReports returns this gateway's state, with the counts of all organisations and all
-// strikes that matter, or only the counts near limits and recent strikes. Reports that are too large for a packet, because some names
-// are long, are divided further.
+// ownReports returns this gateway's state, with the counts of all organisations and the
+// strikes of all requests in quarantine, or only with the counts near limits and recent
+// strikes. Reports that are too large for a packet, because some names are long, are
+// divided further.
 func (mesh *Mesh) ownReports(all bool) (encoded []cbor.RawMessage) {
 	state, held, counts, notes := mesh.ownState(), mesh.source.Held(), mesh.source.Counts(all), mesh.source.Notes()
 	mesh.mutex.Lock()
--- a/internal/gate/relay/probe.go
+++ b/internal/gate/relay/probe.go
@@ -18,9 +18,6 @@
 	// crashProbeDelay is the time between an interrupted response and the attempt
 	// to connect to the target, which distinguishes a crash from a mere interruption.
 	crashProbeDelay = 20 * time.Millisecond
-	// crashCheckTimeout is how long a retry waits for the result: the delay and a round trip
-	// between regions.
-	crashCheckTimeout = 100 * time.Millisecond
 )
 
 // checkCrash probes a target whose connection broke or fell silent. If its host refuses
@@ -47,11 +44,8 @@
 	if run.next != nil {
 		return
 	}
-	timer := run.clock.NewTimer(crashCheckTimeout)
-	defer timer.Stop()
 	select {
 	case <-known:
-	case <-timer.C():
 	case <-ctx.Done():
 	}
 }
