--- a/internal/gate/relay/abandoned.go
+++ b/internal/gate/relay/abandoned.go
@@ -5,10 +5,7 @@
 	"sync"
 	"time"
 
-	"k8s.io/klog/v2"
-
 	"github.com/agatestage/agatestage"
-	"github.com/agatestage/agatestage/internal/route/blame"
 )
 
 // abandonedTime is how long a target may take to end under a call that it was sent and
@@ -68,12 +65,3 @@
 	}
 	run.abandoned.add(endpoint.ID, run.call, run.clock.Now())
 }
-
-// blameFor blames a call for the end of a target.
-func (relay *Relay) blameFor(call *agatestage.Call, endpoint agatestage.Endpoint) {
-	strike := relay.blame.Charge(call, endpoint.ID)
-	lost, counted := relay.blame.Counts(strike.Fingerprint)
-	klog.InfoS("target went down", "target", endpoint.ID, "address", endpoint.Address, "call", call.ID,
-		"body", blame.Name(strike.Fingerprint), "lost", lost, "counted", counted)
-	relay.strike(strike)
-}
--- a/internal/gate/relay/probe.go
+++ b/internal/gate/relay/probe.go
@@ -10,6 +10,7 @@
 
 	"github.com/agatestage/agatestage"
 	"github.com/agatestage/agatestage/internal/base/ticks"
+	"github.com/agatestage/agatestage/internal/route/blame"
 )
 
 const (
@@ -50,6 +51,15 @@
 	}
 }
 
+// blameFor blames a call for the end of a target.
+func (relay *Relay) blameFor(call *agatestage.Call, endpoint agatestage.Endpoint) {
+	strike := relay.blame.Charge(call, endpoint.ID)
+	lost, counted := relay.blame.Counts(strike.Fingerprint)
+	klog.InfoS("target went down", "target", endpoint.ID, "address", endpoint.Address, "call", call.ID,
+		"body", blame.Name(strike.Fingerprint), "lost", lost, "counted", counted)
+	relay.strike(strike)
+}
+
 // dial tries to connect to a target. The target gets no new calls until conclude is
 // called with the error.
 func (relay *Relay) dial(endpoint agatestage.Endpoint) error {
--- a/internal/route/blame/quarantine.go
+++ b/internal/route/blame/quarantine.go
@@ -22,8 +22,7 @@
 	commonWindow      = 2 * time.Second
 	explainingTargets = 2
 	// firstPause is the pause after the first unexplained occasion, as long as a target
-	// takes to start again. Each further occasion multiplies it by pauseFactor: with
-	// trials that all fail, three are sent in the first five minutes.
+	// takes to start again. Each further occasion multiplies it by pauseFactor.
 	firstPause  = 5 * time.Second
 	pauseFactor = 8
 	// barredTime is how long a request is refused at most.
