--- a/internal/route/blame/blame.go
+++ b/internal/route/blame/blame.go
@@ -9,7 +9,7 @@
 // quarantine: it is refused for a pause, and then runs on trial, once at a time in the whole
 // fleet. A trial that a target completes ends the quarantine; each one under which
 // another target goes down lengthens it. Losses on two occasions that the losses of
-// other targets don't explain bar the request for longer than any pause.
+// other targets don't explain bar the request for the longest pause.
 //
 // Batch calls are items that callers have handed in for later, which never take down
 // targets by themselves: those that crash get no strike and are never refused, so that
@@ -188,6 +188,14 @@
 	return losses[first:after]
 }
 
+// strikes returns the strikes of the request with the fingerprint, as they are forwarded.
+func (record *record) strikes(fingerprint uint64, now time.Time) (strikes []Strike) {
+	for _, loss := range record.losses {
+		strikes = append(strikes, Strike{Fingerprint: fingerprint, Target: loss.target, Age: now.Sub(loss.at), Trial: loss.trial})
+	}
+	return strikes
+}
+
 // maxKnown bounds what Known returns at a time, and so the bytes that are sent of it.
 const maxKnown = 16
 
@@ -203,9 +211,7 @@
 		if len(record.losses) < quarantineLosses {
 			continue
 		}
-		for _, loss := range record.losses {
-			known = append(known, Strike{Fingerprint: fingerprint, Target: loss.target, Age: now.Sub(loss.at), Trial: loss.trial})
-		}
+		known = append(known, record.strikes(fingerprint, now)...)
 		if !record.completedAt.IsZero() {
 			known = append(known, Strike{Completed: fingerprint, Age: now.Sub(record.completedAt)})
 		}
--- a/internal/route/blame/quarantine.go
+++ b/internal/route/blame/quarantine.go
@@ -126,10 +126,7 @@
 func (list *List) inquiry(fingerprint uint64) Inquiry {
 	inquiry := Inquiry{Fingerprint: fingerprint}
 	if record := list.records[fingerprint]; record != nil {
-		now := list.clock.Now()
-		for _, loss := range record.losses {
-			inquiry.Strikes = append(inquiry.Strikes, Strike{Fingerprint: fingerprint, Target: loss.target, Age: now.Sub(loss.at), Trial: loss.trial})
-		}
+		inquiry.Strikes = record.strikes(fingerprint, list.clock.Now())
 	}
 	return inquiry
 }
