gate/batch: tests that count reads begin after the lists that gateways read at their start

Cause, in the test: a gateway lists the heads when it starts, beside the test. If the list is read after the count was taken, the test takes it for a read that the answer needed. Shown by the stack of the read: watch.Follow, List. Ruled out: a read by confirmOwned or by findHead, which would be a fault of the owner; neither is in any of the failures' stacks.

The tests that count reads now wait for the lists of all gateways that they started. That showed a second fault, of "a job whose owner was announced is read without a call to the store": the note of the owner lasts 2 s and was taken when the job was done, 2 s after it was accepted, so none was there. The test passed as the other gateway's list ran beside the submission and had the job's head.

--- a/internal/gate/batch/batch_test.go
+++ b/internal/gate/batch/batch_test.go
@@ -145,16 +145,14 @@
 		fixture.fakeRunner.hold = make(chan struct{})
 		spec := fixture.spec("job", 4)
 		gomega.Expect(sender.Submit(context.Background(), spec)).To(gomega.Succeed())
-		reads := func() int64 { return fixture.store.Counts().Reads }
-		// The two reads are the initial list of the heads by each gateway.
-		gomega.Eventually(reads, waitTimeout).Should(gomega.Equal(int64(2)))
+		fixture.awaitLists(2)
 		overloaded.Backlog, idle.Backlog = 100, 0
 		fixture.fakeFleet.setAlive(overloaded, idle)
 		gomega.Eventually(func() bool {
 			_, ok := receiver.AnswerQuery("job", 0)
 			return ok
 		}, waitTimeout).Should(gomega.BeTrue())
-		gomega.Expect(reads()).To(gomega.Equal(int64(2)))
+		gomega.Expect(fixture.store.Counts().Reads).To(gomega.Equal(int64(2)))
 		close(fixture.fakeRunner.hold)
 		expectDone(receiver, spec)
 	})
--- a/internal/gate/batch/fixture_test.go
+++ b/internal/gate/batch/fixture_test.go
@@ -261,6 +261,13 @@
 	}
 }
 
+// awaitLists waits until a number of gateways, all that were started, have listed the heads
+// at their start.
+func (fixture *fixture) awaitLists(gateways int64) {
+	ginkgo.GinkgoHelper()
+	gomega.Eventually(func() int64 { return fixture.store.Counts().Reads }, waitTimeout).Should(gomega.Equal(gateways))
+}
+
 func (fixture *fixture) spec(id string, items int) batch.Spec {
 	route, ok := fixture.holder.Current().Match(host, prefix)
 	gomega.Expect(ok).To(gomega.BeTrue())
--- a/internal/gate/batch/stale_test.go
+++ b/internal/gate/batch/stale_test.go
@@ -121,6 +121,7 @@
 		fixture := newFixture()
 		fixture.fakeFleet.setAlive(first, second)
 		owner, _ := fixture.start(first, blind())
+		fixture.awaitLists(1)
 		fixture.fakeRunner.hold = make(chan struct{})
 		spec := fixture.spec("job", 1)
 		gomega.Expect(owner.Submit(context.Background(), spec)).To(gomega.Succeed())
--- a/internal/gate/batch/takeover_test.go
+++ b/internal/gate/batch/takeover_test.go
@@ -280,11 +280,12 @@
 		duty.Set(false)
 		owner, _ := fixture.start(first, batch.WithPeers(peers), batch.WithDuty(duty))
 		other, _ := fixture.start(second, batch.WithPeers(peers), batch.WithDuty(duty))
+		fixture.awaitLists(2)
 		peers.register(first.Name, owner)
 		spec := fixture.spec("job", 2)
 		gomega.Expect(owner.Submit(context.Background(), spec)).To(gomega.Succeed())
-		expectDone(owner, spec)
 		other.ReceiveNotes(owner.Notes())
+		expectDone(owner, spec)
 		reads := fixture.store.Counts().Reads
 		page, err := other.Results(context.Background(), organisation, spec.ID, 0, 0)
 		gomega.Expect(err).NotTo(gomega.HaveOccurred())
