entry/fleet: a side that has reported is watched again after 200 ms

Cause: the delay before a side is watched again doubled with every exchange that ended, up to 5 s, whether or not the side had reported in it; it started anew only after an exchange of more than 5 s. A side that falls silent now and then was therefore watched again later each time, longer than a call waits for a target (2 s). Ruled out: the link, which had been dialled again by then, by the trace.

Change: the back-off starts anew when the side has reported in the exchange. Exchanges that bring no report double it as before, from 200 ms as minWatchDelay says (it was 400 ms at the first).

--- a/internal/entry/fleet/exchange.go
+++ b/internal/entry/fleet/exchange.go
@@ -24,14 +24,14 @@
 	return err.Error()
 }
 
-// runExchange runs one KindWatch exchange until it ends. Policies are sent after
-// the first report has arrived.
-func (fleet *Fleet) runExchange(ctx context.Context, watch *watch) error {
+// runExchange runs one KindWatch exchange until it ends, and returns whether the side has
+// reported in it. Policies are sent after the first report has arrived.
+func (fleet *Fleet) runExchange(ctx context.Context, watch *watch) (reported bool, err error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	stream, finish, err := fleet.node.BeginIdle(ctx, watch.host.Address, calls.KindWatch)
 	if err != nil {
-		return err
+		return false, err
 	}
 	defer finish()
 	firstReport := make(chan struct{})
@@ -43,13 +43,13 @@
 		}
 		fleet.sendPolicies(ctx, watch, stream)
 	}()
-	for first := true; ; first = false {
+	for ; ; reported = true {
 		var report calls.Report
 		if err = stream.Receive(&report); err != nil {
-			return err
+			return reported, err
 		}
 		fleet.applyReport(watch.host, report)
-		if first {
+		if !reported {
 			close(firstReport)
 		}
 	}
--- a/internal/entry/fleet/fleet.go
+++ b/internal/entry/fleet/fleet.go
@@ -231,21 +231,21 @@
 }
 
 // watch keeps an exchange with one side open, with exponential back-off between
-// attempts.
+// attempts that bring no report.
 func (fleet *Fleet) watch(ctx context.Context, watch *watch) {
 	delay := minWatchDelay
 	for ctx.Err() == nil {
-		startedAt := fleet.clock.Now()
-		err := fleet.runExchange(ctx, watch)
+		reported, err := fleet.runExchange(ctx, watch)
 		if ctx.Err() != nil {
 			return
 		}
 		klog.V(1).InfoS("side not watched", "host", watch.host.Name, "error", errorText(err))
 		fleet.markNotReady(watch.host.Name)
-		if delay = min(2*delay, maxWatchDelay); fleet.clock.Since(startedAt) > maxWatchDelay {
+		if reported {
 			delay = minWatchDelay
 		}
 		ticks.Wait(ctx, fleet.clock, delay)
+		delay = min(2*delay, maxWatchDelay)
 	}
 }
 
