side/serve: a side that stops closes its links when the ends of its answers have arrived

Cause: a call counted as over once its end had been handed to the link. The link sends it when the congestion window lets it, and again if a packet is lost; closing the connection drops what isn't acknowledged. The same holds for the refusal of a call that comes late, of which the entry then couldn't know that it hadn't run.

Change: a call counts until the entry has ended the exchange, which it does once it has received the end (link.Stream.CloseAndAwait); refused calls count, too. Drain still ends at its limit. Options ruled out: waiting a fixed time before the close, which a slow link exceeds; a wait for all handlers in Node.Close, since watches last until the link closes.

Test: an answer of 200 KB on a link with 100 ms each way, the side stopped within it. Before, the link closed with the end of the answer unsent (failed); after, it arrives.

--- a/internal/side/serve/server.go
+++ b/internal/side/serve/server.go
@@ -23,8 +23,9 @@
 // Server serves the calls and watches of entries on a side's targets.
 //
 // Invariants: a call is answered with exactly one End unless its link is lost;
-// after Drain has returned, no new call starts, and none runs unless the limit was
-// reached; the revision of the policy never decreases.
+// after Drain has returned, no new call starts, and unless the limit was reached none runs
+// and every entry has received the ends of its calls; the revision of the policy never
+// decreases.
 type Server struct {
 	clock           agatestage.Clock
 	targets         map[string]*state.Target
@@ -76,15 +77,13 @@
 	node.Handle(calls.KindWatch, server.watch)
 }
 
-// beginCall counts a running call. It returns false if the side is leaving.
+// beginCall counts a call whose entry hasn't received its end. It returns false if the side
+// is leaving, so that the call must be refused.
 func (server *Server) beginCall() bool {
 	server.mutex.Lock()
 	defer server.mutex.Unlock()
-	if server.leaving {
-		return false
-	}
 	server.running++
-	return true
+	return !server.leaving
 }
 
 func (server *Server) endCall() {
@@ -97,7 +96,7 @@
 }
 
 // Drain makes the side refuse new calls and waits until the running ones have
-// finished, but no longer than limit.
+// finished and their ends have been received, but no longer than limit.
 func (server *Server) Drain(limit time.Duration) {
 	server.mutex.Lock()
 	server.leaving = true
@@ -124,22 +123,26 @@
 	if err := stream.Receive(&request); err != nil {
 		return err
 	}
+	accepted := server.beginCall()
+	defer server.endCall()
 	end := calls.End{}
 	target := server.targets[request.Target]
 	if peer.Role != agatestage.RoleEntry {
 		end.Refusal = agatestage.Refuse(agatestage.CodeForbidden, "only entries may send calls")
 	} else if target == nil {
 		end.Refusal = agatestage.Refuse(agatestage.CodeNoTarget, "no target %s on this host", request.Target)
-	} else if !server.beginCall() {
+	} else if !accepted {
 		end.Refusal = agatestage.Refuse(agatestage.CodeStopping, "the side of target %s is stopping", request.Target)
 	} else {
-		defer server.endCall()
 		end = exec.Run(ctx, target, &request.Call, &linkSink{stream: stream, id: request.Call.ID})
 	}
 	if target != nil {
 		end.Load = target.Load()
 	}
-	return stream.Send(calls.AnswerPart{ID: request.Call.ID, End: &end})
+	if err := stream.Send(calls.AnswerPart{ID: request.Call.ID, End: &end}); err != nil {
+		return err
+	}
+	return stream.CloseAndAwait()
 }
 
 // linkSink sends the answer to a call to the entry.
--- a/internal/wire/link/stream.go
+++ b/internal/wire/link/stream.go
@@ -130,6 +130,26 @@
 	return errors.Wrap(stream.stream.Close(), "close stream")
 }
 
+// CloseAndAwait closes the sending direction and waits until the peer has ended the
+// exchange, which callers do once they have received the last message. It returns an error
+// if the connection is lost before.
+func (stream *Stream) CloseAndAwait() error {
+	if err := stream.CloseSend(); err != nil {
+		return err
+	}
+	var rest [64]byte
+	for {
+		_, err := stream.stream.Read(rest[:])
+		var ended *quic.StreamError
+		switch {
+		case errors.Is(err, io.EOF) || errors.As(err, &ended):
+			return nil
+		case err != nil:
+			return errors.Wrap(err, "await the end of the exchange")
+		}
+	}
+}
+
 // Abort immediately ends the exchange in both directions.
 func (stream *Stream) Abort() {
 	stream.stream.CancelRead(streamAborted)
