gate/batch: cached results of an open job are shown only while they are known to be all

Cause: remoteResults answered from the cache while the head that it knew was open and counted no more results. In fleets of more than 13 gateways only some follow the heads; the others aren't sent newer ones, so that their head stays what it was at the last question.

Change: results of an open job are shown from the cache only if its owner or the store has confirmed within 300 ms (headFreshFor, as for the end of a job) that there are no more. Otherwise the owner is asked for those that came after, then the store; while the store is out, the cache is shown as before. Ruled out: sending heads to all gateways (its cost grows with jobs times gateways).

Test: a reader that isn't sent heads reads from the beginning until the job is done: 1 of 2 results for 20 s before (failed), 2 after.

--- a/internal/gate/batch/access.go
+++ b/internal/gate/batch/access.go
@@ -42,11 +42,12 @@
 	if owner == "" || owner == manager.name {
 		return versionedHead{}, false
 	}
+	askedAt := manager.clock.Now()
 	answer, ok := manager.peers.QueryJob(ctx, owner, id, 0)
 	if !ok {
 		return versionedHead{}, false
 	}
-	return manager.cacheAnswer(nil, answer).versionedHead, true
+	return manager.cacheAnswer(nil, answer, askedAt).versionedHead, true
 }
 
 // findHead returns the head of an organisation's job: if it isn't cached, from the job's
--- a/internal/gate/batch/reader_test.go
+++ b/internal/gate/batch/reader_test.go
@@ -116,6 +116,23 @@
 		close(newer)
 		gomega.Expect((<-newerPages).Results).To(gomega.HaveLen(2))
 	})
+	ginkgo.It("are all shown, from the beginning again, by a gateway that isn't sent newer heads", func() {
+		fixture := newFixture()
+		fixture.fakeFleet.setAlive(first, second)
+		peers := &fakePeers{managers: make(map[string]*batch.Manager)}
+		owner, _ := fixture.start(first, blind(), batch.WithPeers(peers))
+		peers.register(first.Name, owner)
+		reader, _ := fixture.start(second, blind(), batch.WithPeers(peers))
+		fixture.awaitLists(2)
+		fixture.fakeRunner.script = yieldSecond
+		fixture.fakeRunner.holdRepeats = make(chan struct{})
+		spec := fixture.spec("job", 2)
+		gomega.Expect(owner.Submit(context.Background(), spec)).To(gomega.Succeed())
+		gomega.Eventually(func() int { return len(results(reader, spec.ID).Results) }, waitTimeout).Should(gomega.Equal(1))
+		close(fixture.fakeRunner.holdRepeats)
+		expectDone(owner, spec)
+		gomega.Eventually(func() int { return len(results(reader, spec.ID).Results) }, waitTimeout).Should(gomega.Equal(2))
+	})
 	ginkgo.It("are shown though the answer of the owner is older than the head", func() {
 		fixture := newFixture()
 		fixture.fakeFleet.setAlive(first, second)
--- a/internal/gate/batch/results.go
+++ b/internal/gate/batch/results.go
@@ -22,6 +22,20 @@
 	results []Result
 	chunks  int
 	items   []Item
+	// confirmedAt is when the job's owner or the store was last asked whether there are
+	// more results.
+	confirmedAt time.Time
+}
+
+// confirm caches the results that the job had at a given time, unless more are cached.
+func (snapshot *snapshot) confirm(results []Result, chunks int, at time.Time) {
+	if len(snapshot.results) > len(results) {
+		return
+	}
+	snapshot.results, snapshot.chunks = results, chunks
+	if at.After(snapshot.confirmedAt) {
+		snapshot.confirmedAt = at
+	}
 }
 
 // Peers exchanges jobs with other gateways.
@@ -146,21 +160,26 @@
 // remoteResults returns the results of a job that this gateway doesn't own: from the
 // cache, else from the job's owner, else from the store.
 func (manager *Manager) remoteResults(ctx context.Context, head versionedHead, offset int) (listing, error) {
+	askedAt := manager.clock.Now()
 	manager.mutex.Lock()
 	cached := manager.snapshot(head.ID)
 	results, chunks := cached.results, cached.chunks
-	fresh := manager.clock.Since(manager.headsConfirmedAt) < headFreshFor && head.Owner != manager.name
+	confirmed := askedAt.Sub(cached.confirmedAt) < headFreshFor
+	fresh := askedAt.Sub(manager.headsConfirmedAt) < headFreshFor && head.Owner != manager.name
 	manager.mutex.Unlock()
 	// The cache must hold all results that the head counts, so that a caller that reads
 	// from the beginning again gets them all.
-	if len(results) >= head.Results && (len(results) > offset || !head.Open()) {
+	if len(results) >= head.Results && (!head.Open() || len(results) > offset && (confirmed || fresh)) {
 		return listing{versionedHead: head, results: results, source: sourceCache}, nil
 	}
 	if head.Owner != "" && head.Owner != manager.name {
 		if answer, ok := manager.peers.QueryJob(ctx, head.Owner, head.ID, len(results)); ok && answer.Head.Results >= len(results) && manager.isNews(answer) {
-			return manager.cacheAnswer(results, answer), nil
+			return manager.cacheAnswer(results, answer, askedAt), nil
 		}
 	}
+	if len(results) > offset && manager.fleet.StoreOutage() > 0 {
+		return listing{versionedHead: head, results: results, source: sourceCache}, nil
+	}
 	observed, more, err := manager.readNewResults(ctx, head, chunks, fresh)
 	if err != nil && len(results) > offset {
 		klog.InfoS("store unavailable; results answered from the cache", "job", head.ID, "results", len(results), "of", head.Results, "error", err.Error())
@@ -174,9 +193,7 @@
 	defer manager.mutex.Unlock()
 	manager.cacheHeadLocked(observed)
 	// Another read, of an older or a newer head, may have ended meanwhile.
-	if cached = manager.snapshot(head.ID); len(cached.results) < len(results) {
-		cached.results, cached.chunks = results, observed.Chunks
-	}
+	manager.snapshot(head.ID).confirm(results, observed.Chunks, askedAt)
 	return listing{versionedHead: observed, results: results, source: sourceStore}, nil
 }
 
@@ -200,15 +217,16 @@
 	return head, more, err
 }
 
-// cacheAnswer caches the answer of a job's owner to a query after the known results.
-func (manager *Manager) cacheAnswer(known []Result, answer Answer) listing {
+// cacheAnswer caches the answer of a job's owner to a query after the known results, which
+// was sent at a given time.
+func (manager *Manager) cacheAnswer(known []Result, answer Answer, askedAt time.Time) listing {
 	results := append(known[:len(known):len(known)], answer.Results...)
 	observed := versionedHead{Head: answer.Head, version: answer.Version}
 	manager.mutex.Lock()
 	defer manager.mutex.Unlock()
 	manager.cacheHeadLocked(observed)
-	if cached := manager.snapshot(observed.ID); len(cached.results) < len(results) && len(results) == answer.Head.Results {
-		cached.results, cached.chunks = results, answer.Head.Chunks
+	if len(results) == answer.Head.Results {
+		manager.snapshot(observed.ID).confirm(results, answer.Head.Chunks, askedAt)
 	}
 	return listing{versionedHead: observed, results: results, source: sourceOwner}
 }
