route/blame: a trial on a target of a rack that is being lost costs 5 s, not 40 s

Callers of a sound request were refused for 40 s: two of its targets were lost with a rack, it was put on trial at once, as other losses explained these two, and the trial ran on a third target of the same rack.

Cause: the loss of a trial is an occasion by itself, and the second occasion leads to the second pause, though other losses explain both.

Change: two occasions that are both explained lead to the first pause, 5 s; everything else stays. Ruled out: a trial's loss counted as part of the occasion that began before (no pause, so a harmful request would end one target after the other while a rack is down); all pauses of explained occasions one step shorter (four sends later than 4 s after the third loss in quarantine_test, every 11 s beside 2 or 6 losses).

Test: a sound request on trial on a rack that is being lost is served within 6 s (refused before).

--- a/internal/route/blame/quarantine.go
+++ b/internal/route/blame/quarantine.go
@@ -21,8 +21,9 @@
 	// others within it explain that of a target.
 	commonWindow      = 2 * time.Second
 	explainingTargets = 2
-	// firstPause is the pause after the first unexplained occasion, as long as a target
-	// takes to start again. Each further occasion multiplies it by pauseFactor.
+	// firstPause is the pause after the first unexplained occasion, or after two explained
+	// ones, as long as a target takes to start again. Each further occasion multiplies it by
+	// pauseFactor.
 	firstPause  = 5 * time.Second
 	pauseFactor = 8
 	// barredTime is how long a request is refused at most.
@@ -169,6 +170,9 @@
 		return barredTime
 	case occasions == 1 && unexplained == 0:
 		return 0
+	case occasions == 2 && unexplained == 0:
+		// The request may have been on trial on one of the targets of a rack.
+		return firstPause
 	}
 	pause := firstPause
 	for ; occasions > 1 && pause < barredTime; occasions-- {
--- a/internal/route/blame/quarantine_test.go
+++ b/internal/route/blame/quarantine_test.go
@@ -144,6 +144,19 @@
 	}
 }
 
+func TestSoundRequestOnTrialOnARackThatIsBeingLostIsServedAfterThePause(t *testing.T) {
+	fleet := newFleet(t, 4)
+	fleet.loseOthers(1)
+	for i := range quarantineLosses {
+		fleet.tell(Strike{Fingerprint: 1, Target: fmt.Sprint("rack-", i)})
+	}
+	fleet.loseOthers(2)
+	fleet.clock.Step(100 * time.Millisecond)
+	fleet.send()
+	fleet.Expect(fleet.lost).To(gomega.Equal(1))
+	fleet.expectServed(firstPause + time.Second)
+}
+
 func TestSoundRequestSurvivesTheLossOfTwoRacks(t *testing.T) {
 	fleet := newFleet(t, 4)
 	for range 2 {
