route/blame: a trial that no target may still run lets the next one run at once

Cause: only a completed trial or the loss of its target ended it there. A trial whose targets all refused the connection, one that a target answered with a failure, and one whose permission was lost on its way back to the gateway that had asked for it were waited for.

Change: such a trial is released, by the ID of its call, so that a late report doesn't end the next trial; releases are sent as strikes are. Gateways and entries. A trial that is silent or broken off is not released: its target may yet go down under it.

Tests: route/blame (the next trial is admitted after a release; a repeated release of the first doesn't free the second), gate/relay (a request whose trial reached no target may run on trial at once; refused for 10 s before). The entry's release has no test of its own.

--- a/internal/entry/relay/relay.go
+++ b/internal/entry/relay/relay.go
@@ -114,6 +114,13 @@
 	tried := make(map[string]bool)
 	ran := agatestage.RanNo
 	var lastRefusal *agatestage.Refusal
+	// trialRan is true if a target may still run the call on trial.
+	trialRan := false
+	defer func() {
+		if !trialRan {
+			relay.releaseTrial(ctx, call)
+		}
+	}()
 	for range maxAttempts {
 		if err = relay.blame.Admit(ctx, call); err != nil {
 			return false, withRan(err, ran)
@@ -127,6 +134,7 @@
 		}
 		tried[candidate.Target] = true
 		result := relay.attempt(ctx, call, candidate, timeouts, sink)
+		trialRan = trialRan || call.Trial && (result.refusal == nil || result.refusal.Ran != agatestage.RanNo)
 		if result.targetLost {
 			relay.recordStrike(ctx, call, candidate)
 		}
@@ -192,6 +200,14 @@
 	}
 }
 
+// releaseTrial lets another call of the request run on trial, if this one was on trial.
+func (relay *Relay) releaseTrial(ctx context.Context, call *agatestage.Call) {
+	if released, ok := relay.blame.Release(call); ok {
+		klog.InfoS("trial ended without a result", "call", call.ID, "body", blame.Name(released.Released))
+		go relay.strike(context.WithoutCancel(ctx), released)
+	}
+}
+
 // mayRetry reports whether another attempt is allowed.
 func (relay *Relay) mayRetry(ctx context.Context, call *agatestage.Call, result outcome) bool {
 	if ctx.Err() != nil {
--- a/internal/gate/gossip/trial.go
+++ b/internal/gate/gossip/trial.go
@@ -23,7 +23,10 @@
 	} else {
 		ctx, cancel := context.WithTimeout(ctx, trialTimeout)
 		defer cancel()
-		err = mesh.transport.Ask(ctx, owner.Address, KindTrial, inquiry, &permitted)
+		if err = mesh.transport.Ask(ctx, owner.Address, KindTrial, inquiry, &permitted); err != nil {
+			// The owner may have permitted the trial.
+			mesh.BroadcastStrike(blame.Strike{Released: inquiry.Fingerprint, Call: inquiry.Call})
+		}
 	}
 	klog.InfoS("trial of a request in quarantine", "body", blame.Name(inquiry.Fingerprint), "lost", len(inquiry.Strikes), "permitted", permitted, "owner", owner.Name, "error", err)
 	return permitted && err == nil
--- a/internal/gate/relay/harmful_test.go
+++ b/internal/gate/relay/harmful_test.go
@@ -146,6 +146,18 @@
 		_, _ = fixture.serve(plan)
 		gomega.Expect(fixture.receiveStrike().Fingerprint).To(gomega.BeEquivalentTo(fingerprint))
 	})
+	ginkgo.It("may run on trial again at once if no target of the trial could be reached", func() {
+		unreachable := newTarget(stall)
+		_ = unreachable.listener.Close()
+		fixture := newFixture(unreachable)
+		for i := range 2 {
+			fixture.list.Charge(&agatestage.Call{Fingerprint: fingerprint}, fmt.Sprint("rack-", i))
+			fixture.list.Charge(&agatestage.Call{Fingerprint: fingerprint + 1}, fmt.Sprint("rack-", i+2))
+		}
+		result, _ := fixture.serve(attempts(1))
+		expectRefusal(result, agatestage.RanNo)
+		gomega.Expect(fixture.list.Admit(context.Background(), &agatestage.Call{Fingerprint: fingerprint})).To(gomega.Succeed())
+	})
 	for name, suspect := range map[string]bool{"and the next call finds it": false, "a second time": true} {
 		ginkgo.It("gets a strike if its caller leaves before its target ends, "+name, func() {
 			arrived := make(chan struct{})
--- a/internal/gate/relay/relay.go
+++ b/internal/gate/relay/relay.go
@@ -176,6 +176,8 @@
 	next        *sched.Reservation
 	rejections  int
 	attempts    int
+	// trialRan is true if a target may still run the call on trial.
+	trialRan bool
 	lastFailure *buffered
 }
 
@@ -194,6 +196,9 @@
 		if run.next != nil {
 			run.next.Release(false)
 		}
+		if !run.trialRan {
+			run.releaseTrial()
+		}
 	}()
 	for {
 		reservation, err := run.admit(ctx)
@@ -208,6 +213,7 @@
 		end := run.attempt(ctx, reservation)
 		reservation.Release(end.failed)
 		run.result.SlotTime += run.clock.Since(began)
+		run.trialRan = run.trialRan || run.call.Trial && !end.notRun && end.buffered == nil
 		var known <-chan struct{}
 		if end.crashed {
 			known = run.checkCrash(reservation.Target)
@@ -252,6 +258,14 @@
 	}
 }
 
+// releaseTrial lets another call of the request run on trial, if this one was on trial.
+func (run *run) releaseTrial() {
+	if released, ok := run.blame.Release(run.call); ok {
+		klog.InfoS("trial ended without a result", "call", run.call.ID, "body", blame.Name(released.Released))
+		run.strike(released)
+	}
+}
+
 // admit waits for a slot, and returns a refusal if targets have gone down under the
 // request before or meanwhile.
 func (run *run) admit(ctx context.Context) (*sched.Reservation, error) {
--- a/internal/route/blame/blame.go
+++ b/internal/route/blame/blame.go
@@ -54,6 +54,11 @@
 	// Completed, if it isn't 0, is the fingerprint of a request in quarantine that a target
 	// has completed. The other fields but Age are empty then.
 	Completed uint64 `cbor:",omitempty"`
+	// Released, if it isn't 0, is the fingerprint of a request whose trial, the call with the
+	// ID Call, ended although no target may still run it. The other fields but Age are
+	// empty then.
+	Released uint64 `cbor:",omitempty"`
+	Call     string `cbor:",omitempty"`
 }
 
 // Name returns the fingerprint as logs show it.
@@ -78,8 +83,10 @@
 	losses []loss
 	// completedAt is when a target has last completed the request in quarantine.
 	completedAt time.Time
-	// trialUntil is when the last trial that this process has permitted ends at the latest.
+	// trialUntil is when the last trial that this process has permitted ends at the latest,
+	// trialCall the ID of its call.
 	trialUntil time.Time
+	trialCall  string
 }
 
 // List holds the strikes known to an entry or gateway.
@@ -130,6 +137,18 @@
 	return Strike{Completed: blamed(call)}, true
 }
 
+// Release records that the trial of the call ended without a result, and that no target
+// may still run it. If the call was on trial, it returns what is to be reported to the
+// others.
+func (list *List) Release(call *agatestage.Call) (released Strike, ok bool) {
+	if !call.Trial {
+		return Strike{}, false
+	}
+	released = Strike{Released: blamed(call), Call: call.ID}
+	list.Add(released)
+	return released, true
+}
+
 func (record *record) complete(at time.Time) {
 	record.trialUntil = time.Time{}
 	if at.After(record.completedAt) {
@@ -150,6 +169,12 @@
 		}
 		return false
 	}
+	if strike.Released != blameless {
+		if found := list.records[strike.Released]; found != nil && found.trialCall == strike.Call {
+			found.trialUntil = time.Time{}
+		}
+		return false
+	}
 	loss := loss{target: strike.Target, at: at, trial: strike.Trial}
 	list.losses, _ = insert(list.losses, loss)
 	if strike.Fingerprint == blameless || strike.Age >= repeatedLife {
--- a/internal/route/blame/quarantine.go
+++ b/internal/route/blame/quarantine.go
@@ -28,7 +28,7 @@
 	pauseFactor = 8
 	// barredTime is how long a request is refused at most.
 	barredTime = strikeLife
-	// trialTime is how long a trial lasts of which nothing is heard.
+	// trialTime is how long a trial lasts at most of which nothing is heard.
 	trialTime = 10 * time.Second
 	// trialRetryAfter is when a request may return for which another one is on trial.
 	trialRetryAfter = time.Second
@@ -37,6 +37,8 @@
 // Inquiry asks for permission to run a request on trial.
 type Inquiry struct {
 	Fingerprint uint64
+	// Call is the ID of the call that is to run.
+	Call string
 	// Strikes holds those that the inquirer knows of.
 	Strikes []Strike
 }
@@ -84,7 +86,7 @@
 	call.Suspect = list.Suspect(fingerprint)
 	list.mutex.Lock()
 	onTrial, err := list.check(fingerprint)
-	permit, inquiry := list.permit, list.inquiry(fingerprint)
+	permit, inquiry := list.permit, list.inquiry(call)
 	list.mutex.Unlock()
 	if err != nil || !onTrial || call.Trial {
 		return err
@@ -112,7 +114,7 @@
 	if now.Before(record.trialUntil) {
 		return false
 	}
-	record.trialUntil = now.Add(trialTime)
+	record.trialUntil, record.trialCall = now.Add(trialTime), inquiry.Call
 	return true
 }
 
@@ -123,11 +125,11 @@
 	return slices.MaxFunc(names, func(a, b string) int { return cmp.Or(cmp.Compare(weight(a), weight(b)), cmp.Compare(a, b)) })
 }
 
-// inquiry returns the inquiry for a request. The mutex must be held.
-func (list *List) inquiry(fingerprint uint64) Inquiry {
-	inquiry := Inquiry{Fingerprint: fingerprint}
-	if record := list.records[fingerprint]; record != nil {
-		inquiry.Strikes = record.strikes(fingerprint, list.clock.Now())
+// inquiry returns the inquiry for a call. The mutex must be held.
+func (list *List) inquiry(call *agatestage.Call) Inquiry {
+	inquiry := Inquiry{Fingerprint: blamed(call), Call: call.ID}
+	if record := list.records[inquiry.Fingerprint]; record != nil {
+		inquiry.Strikes = record.strikes(inquiry.Fingerprint, list.clock.Now())
 	}
 	return inquiry
 }
--- a/internal/route/blame/quarantine_test.go
+++ b/internal/route/blame/quarantine_test.go
@@ -144,6 +144,32 @@
 	}
 }
 
+func TestTrialThatEndsWithoutAResultLetsTheNextOneRun(t *testing.T) {
+	fleet := newFleet(t, 4)
+	fleet.loseOthers(3)
+	for i := range quarantineLosses {
+		fleet.tell(Strike{Fingerprint: 1, Target: fmt.Sprint("rack-", i)})
+	}
+	admit := func(list int, call string) (*agatestage.Call, error) {
+		admitted := &agatestage.Call{ID: call, Fingerprint: 1}
+		return admitted, fleet.lists[list].Admit(context.Background(), admitted)
+	}
+	first, err := admit(1, "first")
+	fleet.Expect(err).NotTo(gomega.HaveOccurred())
+	refused, err := admit(2, "refused")
+	fleet.Expect(err).To(gomega.HaveOccurred())
+	_, ok := fleet.lists[2].Release(refused)
+	fleet.Expect(ok).To(gomega.BeFalse())
+	released, ok := fleet.lists[1].Release(first)
+	fleet.Expect(ok).To(gomega.BeTrue())
+	fleet.tell(released)
+	_, err = admit(2, "second")
+	fleet.Expect(err).NotTo(gomega.HaveOccurred())
+	fleet.tell(released)
+	_, err = admit(3, "third")
+	fleet.Expect(err).To(gomega.HaveOccurred())
+}
+
 func TestSoundRequestOnTrialOnARackThatIsBeingLostIsServedAfterThePause(t *testing.T) {
 	fleet := newFleet(t, 4)
 	fleet.loseOthers(1)
