--- a/internal/gate/relay/relay.go
+++ b/internal/gate/relay/relay.go
@@ -173,11 +173,11 @@
 	exclude []string
 	silent  []string
 	// next is the slot for the next attempt, if it is known already.
-	next        *sched.Reservation
-	rejections  int
-	attempts    int
+	next       *sched.Reservation
+	rejections int
+	attempts   int
 	// trialRan is true if a target may still run the call on trial.
-	trialRan bool
+	trialRan    bool
 	lastFailure *buffered
 }
 
