state/member, gate/start: gateways that start together know one another before they are ready

Each gateway that doesn't know of another one takes the part of the rate that is the other's.

The next poll of the members comes 1 to 2 s later; the store was cut off before. gateway-0 and gateway-1 heard each other only when it was back, 17 s later. Gateways 2 and 3 knew both, but messages don't name third ones.

Change: the first list of the members is read after the own record is written (or that has failed, or after 1 s), so that of two gateways that start at the same time at least one knows the other, sends to it, and so is known to it. A gateway is ready when it has this list, or has heard another gateway, which it may at a start in an outage of the store. Ruled out: news of third gateways in messages (bytes with the square of the fleet).

Tests: state/member, two members with a store that is slow to let them join (the list was read before: failed).

--- a/internal/gate/start/start.go
+++ b/internal/gate/start/start.go
@@ -207,11 +207,11 @@
 		"callers", gateway.settings.Listen.Caller, "peers", gateway.settings.Listen.Peer, "metrics", gateway.settings.Listen.Metrics)
 }
 
-// awaitReady waits until the configuration and the targets have been read, then
-// reports the gateway ready.
+// awaitReady waits until the configuration, the targets and the other gateways are known,
+// then reports the gateway ready.
 func (gateway *Gateway) awaitReady(ctx context.Context) {
 	for ctx.Err() == nil {
-		if gateway.components.Holder.Current() != nil && gateway.components.View.targets.Listed() {
+		if gateway.components.Holder.Current() != nil && gateway.components.View.targets.Listed() && gateway.knowsOthers() {
 			close(gateway.initialized)
 			gateway.ready.Store(true)
 			klog.InfoS("gateway ready", "version", gateway.components.Holder.Version())
@@ -221,6 +221,12 @@
 	}
 }
 
+// knowsOthers reports whether the store has told of the other gateways or one of them has
+// been heard, as one that knows of no other would admit each organisation's whole rate.
+func (gateway *Gateway) knowsOthers() bool {
+	return !gateway.components.Roster.ConfirmedAt().IsZero() || len(gateway.components.Mesh.Admitting()) > 0
+}
+
 // drainAndStop reports the gateway not ready, so that the load balancer sends requests
 // elsewhere, and hands its jobs over. After the notice time it closes each kept
 // connection after its next answer and waits for running requests, then stops.
--- a/internal/state/member/roster.go
+++ b/internal/state/member/roster.go
@@ -28,7 +28,10 @@
 	holdTime = LeaseTime - 200*time.Millisecond
 	// renewPeriod is the interval between renewals.
 	renewPeriod = 800 * time.Millisecond
-	prefix      = "member/"
+	// joinWait bounds how long the first list of the members waits until the own record is
+	// written.
+	joinWait = time.Second
+	prefix   = "member/"
 )
 
 // Member is a live entry.
@@ -59,8 +62,10 @@
 	// addresses holds the last known address of every entry that was ever a member.
 	addresses map[string]netip.AddrPort
 	// confirmed is when the store last confirmed the view.
-	confirmed    time.Time
-	changed      chan struct{}
+	confirmed time.Time
+	changed   chan struct{}
+	// attempted is closed when the first attempt to join has ended.
+	attempted    chan struct{}
 	left         bool
 	watchOptions []watch.Option
 	// onRenewal is called with the outcome of each renewal.
@@ -89,6 +94,7 @@
 		members:   map[string]Member{},
 		addresses: map[string]netip.AddrPort{},
 		changed:   make(chan struct{}),
+		attempted: make(chan struct{}),
 		onRenewal: func(error) {},
 	}
 	for _, option := range options {
@@ -216,10 +222,12 @@
 // Serve renews the lease until ctx ends.
 func (renewer *Renewer) Serve(ctx context.Context) error {
 	roster := renewer.roster
+	attempted := sync.OnceFunc(func() { close(roster.attempted) })
 	ticker := roster.clock.NewTicker(renewPeriod)
 	defer ticker.Stop()
 	for {
 		err := roster.Renew(ctx)
+		attempted()
 		if err != nil && ctx.Err() == nil {
 			klog.V(1).InfoS("failed to renew lease", "error", err.Error())
 		}
@@ -292,14 +300,27 @@
 	roster.lease, roster.leaseDeadline, roster.joined = lease, sent.Add(holdTime), max(roster.joined, joined)
 }
 
-// Serve watches the members' records until ctx ends.
+// Serve watches the members' records until ctx ends. It lists them after this process has
+// joined, so that of two that start at the same time one at least knows the other.
 func (roster *Roster) Serve(ctx context.Context) error {
+	roster.awaitJoin(ctx)
 	return watch.Follow(ctx, roster.store, roster.clock, prefix, func(_ context.Context, records []agatestage.Record, complete bool) error {
 		roster.apply(records, complete)
 		return nil
 	}, roster.watchOptions...)
 }
 
+// awaitJoin waits until the first attempt to join has ended, at most for joinWait.
+func (roster *Roster) awaitJoin(ctx context.Context) {
+	timer := roster.clock.NewTimer(joinWait)
+	defer timer.Stop()
+	select {
+	case <-roster.attempted:
+	case <-timer.C():
+	case <-ctx.Done():
+	}
+}
+
 // String names the service in logs.
 func (roster *Roster) String() string {
 	return "roster"
--- a/internal/state/member/roster_test.go
+++ b/internal/state/member/roster_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/netip"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -11,6 +12,7 @@
 	"github.com/onsi/gomega"
 	clocktest "k8s.io/utils/clock/testing"
 
+	"github.com/agatestage/agatestage"
 	"github.com/agatestage/agatestage/internal/fake/store"
 	"github.com/agatestage/agatestage/internal/state/member"
 )
@@ -22,6 +24,12 @@
 
 var ctx = context.Background()
 
+const (
+	testTimeout = 20 * time.Second
+	// joinTime is how long a list of the members waits at most for the own record.
+	joinTime = time.Second
+)
+
 // oddRecords are records of another writer, by key, which name no member.
 var oddRecords = map[string]string{
 	"member/": `{}`, "member/empty": "", "member/null": "null", "member/array": "[]", "member/bytes": "\xff\xfe", "member/nameless": `{"Region":"near"}`,
@@ -57,3 +65,58 @@
 		}
 	})
 })
+
+// slowStore grants leases only when it is released, and counts the lists.
+type slowStore struct {
+	*store.Store
+	release chan struct{}
+	lists   atomic.Int64
+}
+
+// Grant implements agatestage.Store.
+func (slowStore *slowStore) Grant(ctx context.Context, duration time.Duration) (agatestage.Lease, error) {
+	<-slowStore.release
+	return slowStore.Store.Grant(ctx, duration)
+}
+
+// List implements agatestage.Store.
+func (slowStore *slowStore) List(ctx context.Context, prefix string) ([]agatestage.Record, uint64, error) {
+	slowStore.lists.Add(1)
+	return slowStore.Store.List(ctx, prefix)
+}
+
+// startSlowly starts the services of a member whose store is slow to grant its lease.
+func startSlowly(fakeStore *store.Store, clock *clocktest.FakeClock, name string) (*member.Roster, *slowStore) {
+	ginkgo.GinkgoHelper()
+	slow := &slowStore{Store: fakeStore, release: make(chan struct{})}
+	roster := member.New(slow, clock, member.Member{Name: name, Region: "near", Zone: "a"})
+	ctx, cancel := context.WithCancel(context.Background())
+	ginkgo.DeferCleanup(cancel)
+	go func() { _ = roster.Serve(ctx) }()
+	gomega.Eventually(clock.Waiters).Should(gomega.BeNumerically(">=", 1))
+	go func() { _ = roster.Renewer().Serve(ctx) }()
+	return roster, slow
+}
+
+var _ = ginkgo.Describe("members that start at the same time", func() {
+	ginkgo.It("are known to one another without a change that is read later", func() {
+		clock := clocktest.NewFakeClock(time.Unix(1000, 0))
+		fakeStore := store.New(clock)
+		first, firstStore := startSlowly(fakeStore, clock, "gateway-a")
+		second, secondStore := startSlowly(fakeStore, clock, "gateway-b")
+		close(firstStore.release)
+		gomega.Eventually(first.Members, testTimeout).Should(gomega.HaveKey("gateway-a"))
+		gomega.Expect(secondStore.lists.Load()).To(gomega.BeZero())
+		close(secondStore.release)
+		gomega.Eventually(second.Members, testTimeout).Should(gomega.And(gomega.HaveKey("gateway-a"), gomega.HaveKey("gateway-b")))
+		gomega.Expect(firstStore.lists.Load() + secondStore.lists.Load()).To(gomega.BeEquivalentTo(2))
+	})
+	ginkgo.It("list the others though they can't join", func() {
+		clock := clocktest.NewFakeClock(time.Unix(1000, 0))
+		_, slow := startSlowly(store.New(clock), clock, "gateway-a")
+		ginkgo.DeferCleanup(func() { close(slow.release) })
+		gomega.Expect(slow.lists.Load()).To(gomega.BeZero())
+		clock.Step(joinTime)
+		gomega.Eventually(slow.lists.Load, testTimeout).Should(gomega.BeEquivalentTo(1))
+	})
+})
