--- a/internal/entry/peers/trial.go
+++ b/internal/entry/peers/trial.go
@@ -21,7 +21,10 @@
 	} else {
 		ctx, cancel := context.WithTimeout(ctx, strikeTimeout)
 		defer cancel()
-		err = mesh.node.Ask(ctx, others[owner], KindTrial, inquiry, &permitted)
+		if err = mesh.node.Ask(ctx, others[owner], KindTrial, inquiry, &permitted); err != nil {
+			// The owner may have permitted the trial.
+			go mesh.Strike(ctx, blame.Strike{Released: inquiry.Fingerprint, Call: inquiry.Call})
+		}
 	}
 	klog.InfoS("trial of a request in quarantine", "body", blame.Name(inquiry.Fingerprint), "lost", len(inquiry.Strikes), "permitted", permitted, "owner", owner, "error", err)
 	return permitted && err == nil
--- a/internal/gate/batch/results.go
+++ b/internal/gate/batch/results.go
@@ -169,7 +169,8 @@
 	manager.mutex.Unlock()
 	// The cache must hold all results that the head counts, so that a caller that reads
 	// from the beginning again gets them all.
-	if len(results) >= head.Results && (!head.Open() || len(results) > offset && (confirmed || fresh)) {
+	complete := len(results) >= head.Results
+	if complete && (!head.Open() || len(results) > offset && (confirmed || fresh)) {
 		return listing{versionedHead: head, results: results, source: sourceCache}, nil
 	}
 	if head.Owner != "" && head.Owner != manager.name {
@@ -177,7 +178,7 @@
 			return manager.cacheAnswer(results, answer, askedAt), nil
 		}
 	}
-	if len(results) > offset && manager.fleet.StoreOutage() > 0 {
+	if complete && len(results) > offset && manager.fleet.StoreOutage() > 0 {
 		return listing{versionedHead: head, results: results, source: sourceCache}, nil
 	}
 	observed, more, err := manager.readNewResults(ctx, head, chunks, fresh)
--- a/internal/state/member/roster.go
+++ b/internal/state/member/roster.go
@@ -64,8 +64,9 @@
 	// confirmed is when the store last confirmed the view.
 	confirmed time.Time
 	changed   chan struct{}
-	// attempted is closed when the first attempt to join has ended.
+	// attempted is closed, by attempt, when the first attempt to join has ended.
 	attempted    chan struct{}
+	attempt      sync.Once
 	left         bool
 	watchOptions []watch.Option
 	// onRenewal is called with the outcome of each renewal.
@@ -222,12 +223,11 @@
 // Serve renews the lease until ctx ends.
 func (renewer *Renewer) Serve(ctx context.Context) error {
 	roster := renewer.roster
-	attempted := sync.OnceFunc(func() { close(roster.attempted) })
 	ticker := roster.clock.NewTicker(renewPeriod)
 	defer ticker.Stop()
 	for {
 		err := roster.Renew(ctx)
-		attempted()
+		roster.attempt.Do(func() { close(roster.attempted) })
 		if err != nil && ctx.Err() == nil {
 			klog.V(1).InfoS("failed to renew lease", "error", err.Error())
 		}
