test/whole, KNOWN-RED: the state of each process is printed where a spec fails

The entry that had been stopped wrote nothing and answered no packet after the SIGCONT; its output doesn't tell whether it had ended or was still stopped. That is printed now (the exit state, or the kernel's state of the process).

--- a/test/whole/rig_test.go
+++ b/test/whole/rig_test.go
@@ -14,6 +14,7 @@
 	"os/exec"
 	"path/filepath"
 	"regexp"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -115,6 +116,23 @@
 	}
 }
 
+// state tells how the process ended or, if it runs, what the kernel says that it does.
+func (process *process) state() string {
+	if !process.running() {
+		return process.cmd.ProcessState.String()
+	}
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", process.cmd.Process.Pid))
+	if err != nil {
+		return "running"
+	}
+	for line := range strings.Lines(string(status)) {
+		if state, ok := strings.CutPrefix(line, "State:"); ok {
+			return strings.TrimSpace(state)
+		}
+	}
+	return "running"
+}
+
 func (process *process) kill() {
 	process.signal(syscall.SIGKILL)
 	<-process.done
@@ -176,9 +194,10 @@
 // stop kills all processes, and prints their output if the spec failed.
 func (rig *rig) stop() {
 	for name, process := range rig.processes {
+		state := process.state()
 		process.kill()
 		if ginkgo.CurrentSpecReport().Failed() {
-			fmt.Fprintf(ginkgo.GinkgoWriter, "--- %s\n%s\n", name, process.out)
+			fmt.Fprintf(ginkgo.GinkgoWriter, "--- %s (%s)\n%s\n", name, state, process.out)
 		}
 	}
 }
