--- a/internal/gate/start/start.go
+++ b/internal/gate/start/start.go
@@ -221,8 +221,8 @@
 	}
 }
 
-// knowsOthers reports whether the store has told of the other gateways or one of them has
-// been heard, as one that knows of no other would admit each organisation's whole rate.
+// knowsOthers reports whether the list of the gateways has been read or a message of another
+// gateway has come. Without either, this gateway would admit each organisation's whole rate.
 func (gateway *Gateway) knowsOthers() bool {
 	return !gateway.components.Roster.ConfirmedAt().IsZero() || len(gateway.components.Mesh.Admitting()) > 0
 }
--- a/internal/route/blame/blame.go
+++ b/internal/route/blame/blame.go
@@ -55,8 +55,8 @@
 	// has completed. The other fields but Age are empty then.
 	Completed uint64 `cbor:",omitempty"`
 	// Released, if it isn't 0, is the fingerprint of a request whose trial, the call with the
-	// ID Call, ended although no target may still run it. The other fields but Age are
-	// empty then.
+	// ID Call, ended without a result, and which no target may still run. The other fields
+	// but Age are empty then.
 	Released uint64 `cbor:",omitempty"`
 	Call     string `cbor:",omitempty"`
 }
