platform, base/inlet: a caller that has closed its sending side gets an answer

The gateway can't tell such a caller from one that has gone. If the end came while a target ran the request, the caller got 504, so the two moments differed.

Ruled out: running the request nevertheless, as a caller that has gone would then occupy a target; waiting for a reset, which comes only after something has been sent.

Change: such a request is refused as not run (503, code CallerLeft), which is true and costs nothing where the caller has gone. It is counted as 'caller left' by what the connection has read, since the handler now returns before net/http may have cancelled the request.

--- a/internal/base/inlet/exchange.go
+++ b/internal/base/inlet/exchange.go
@@ -74,7 +74,7 @@
 	left := ok && conn.endedByCaller()
 	cancelled := request.Context().Err() != nil && !server.stopping.Load()
 	switch {
-	case failure != nil && left, cancelled && (left || !ok):
+	case left, cancelled && !ok:
 		return whyCallerLeft
 	case cancelled:
 		return whyClosed
--- a/refusal.go
+++ b/refusal.go
@@ -44,6 +44,7 @@
 	CodeHarmful      Code = "HarmfulRequest"
 	CodeNotFresh     Code = "NotFresh"
 	CodeStopping     Code = "Stopping"
+	CodeCallerLeft   Code = "CallerLeft"
 	CodeConflict     Code = "Conflict"
 	CodeStore        Code = "StoreUnavailable"
 	CodeLedger       Code = "LedgerUnavailable"
@@ -80,6 +81,12 @@
 	return refusal
 }
 
+// RefuseCallerLeft returns the refusal of a request that has not run and whose caller has
+// closed its connection, or only the sending side of it: such a caller still reads.
+func RefuseCallerLeft() *Refusal {
+	return Refuse(CodeCallerLeft, "the caller's side of the connection was closed before the request was passed on")
+}
+
 // Error implements error.
 func (refusal *Refusal) Error() string {
 	return fmt.Sprintf("%s: %s (ran: %s)", refusal.Code, refusal.Message, refusal.Ran)
@@ -108,6 +115,7 @@
 	CodeHarmful:      http.StatusUnprocessableEntity,
 	CodeNotFresh:     http.StatusServiceUnavailable,
 	CodeStopping:     http.StatusServiceUnavailable,
+	CodeCallerLeft:   http.StatusServiceUnavailable,
 	CodeConflict:     http.StatusConflict,
 	CodeStore:        http.StatusServiceUnavailable,
 	CodeLedger:       http.StatusServiceUnavailable,
