base/inlet: a caller that doesn't read its answer is cut off

Cause: writes to callers had no deadline on gateways. Entries set one of 30 s for each part of an answer, but not for refusals, job results and the flush at the end of a handler.

Ruled out: http.Server.WriteTimeout, which bounds a whole answer and so cuts slow but sound callers; a deadline in the handler, which would apply to the next request on the connection.

Change: the connection itself gives each 64 KB of an answer 10 s, on both paths. A caller that reads on slowly gets its whole answer, however long that takes.

Measured: 'ends its handler' failed before (the write of 16 MB hadn't returned after 30 s) and passes now; the slow reader passes before and after.

--- a/internal/base/inlet/inlet.go
+++ b/internal/base/inlet/inlet.go
@@ -51,14 +51,18 @@
 	giveUp  context.CancelFunc
 	mutex   sync.Mutex
 	// idleLimit is how long a connection may be idle; zero means without limit.
-	idleLimit time.Duration
-	conns     map[*conn]struct{}
+	idleLimit    time.Duration
+	conns        map[*conn]struct{}
+	writeTimeout time.Duration
 }
 
 // New returns a server that serves the listener once Serve runs. It takes over the
 // handler and the ConnState hook of the http.Server, and adds to its ConnContext hook.
-func New(name string, server *http.Server, listener *net.TCPListener, clock agatestage.Clock) *Server {
-	inlet := &Server{name: name, http: server, handler: server.Handler, listener: listener, clock: clock, conns: make(map[*conn]struct{})}
+func New(name string, server *http.Server, listener *net.TCPListener, clock agatestage.Clock, options ...Option) *Server {
+	inlet := &Server{name: name, http: server, handler: server.Handler, listener: listener, clock: clock, conns: make(map[*conn]struct{}), writeTimeout: defaultWriteTimeout}
+	for _, option := range options {
+		option(inlet)
+	}
 	inlet.givenUp, inlet.giveUp = context.WithCancel(context.Background())
 	server.Handler, server.ConnState, server.ConnContext = inlet, trackState, withConn(server.ConnContext)
 	return inlet
