gate/relay, gate/conns: a target that drops a kept connection is used again

What callers saw: 502 for a call that may be repeated, though its only target was sound: the target had closed or reset the kept connection on which the request was sent, before any byte of an answer.

Cause: the relay took every break for the target's failure and left the target out for the rest of the call.

Ruled out: resending within the attempt, without counting it: the request may have run, and max_attempts bounds that, so a route with one attempt still answers 502; resending at once, before the probe's result: a request under which the target ended would be sent on. Not counting the break as the target's failure (Release): targets that break off part of their requests do so on kept connections as well, and would no longer be told from sound ones.

Change: a break of a pooled connection before any byte puts the target with those that were only silent: others that have a slot go first, then it is used again. The second request goes over a connection that has carried none, mostly the probe's; if that breaks, too, the target is left out as before. The target's other connections that have been idle as long are closed. Non-idempotent calls are never sent again; a target that refuses the probe is struck and not used. Field dropped in 'attempt failed', agatestage_target_dropped_connections_total.

--- a/internal/gate/conns/conn.go
+++ b/internal/gate/conns/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"io"
 	"net"
 	"net/netip"
 	"syscall"
@@ -34,6 +35,8 @@
 	// generation is that of the address when the connection was made.
 	generation int
 	history    history
+	// used is true once a request has been sent.
+	used bool
 }
 
 // headLimiter reads from a connection and bounds what is read of a head.
@@ -42,6 +45,8 @@
 	// inHead is true while a head is read, of which left bytes may still come.
 	inHead bool
 	left   int
+	// received is the number of bytes that were read in heads during the exchange.
+	received int
 }
 
 // Read implements io.Reader.
@@ -54,9 +59,16 @@
 	}
 	n, err = limiter.raw.Read(data[:min(len(data), limiter.left)])
 	limiter.left -= n
+	limiter.received += n
 	return n, err
 }
 
+// closedByPeer reports whether an exchange failed because the peer closed or reset the
+// connection.
+func closedByPeer(err error) bool {
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+}
+
 // quiet reports whether the connection is open and has no unread data.
 func (conn *conn) quiet() bool {
 	raw, err := conn.Conn.(*net.TCPConn).SyscallConn()
--- a/internal/gate/conns/conns.go
+++ b/internal/gate/conns/conns.go
@@ -47,7 +47,13 @@
 func (notSentError *NotSentError) Unwrap() error { return notSentError.Cause }
 
 // InterruptedError is the error of an exchange that may have reached the target.
-type InterruptedError struct{ Cause error }
+type InterruptedError struct {
+	Cause error
+	// Dropped is true if the target closed a kept connection before it sent anything. It
+	// may have done so before the request arrived, whose connection says nothing about
+	// the target then.
+	Dropped bool
+}
 
 // Error implements error.
 func (interruptedError *InterruptedError) Error() string {
@@ -68,6 +74,8 @@
 	// NonIdempotent requests are not sent on a connection that the target may be
 	// about to close.
 	NonIdempotent bool
+	// Fresh requests are sent on a connection that has carried no other request.
+	Fresh bool
 	// ID identifies the call, and AnswerIDs returns the IDs of the calls that a response
 	// names. Without AnswerIDs every response is taken for the request's own.
 	ID        string
@@ -93,6 +101,7 @@
 // exchange ends with ctx. The error is a *NotSentError or an *InterruptedError.
 func (pool *Pool) Do(ctx context.Context, address netip.AddrPort, request *Request) (*TargetResponse, error) {
 	conn := pool.takeIdle(address, request)
+	kept := conn != nil && !request.Fresh
 	if conn == nil {
 		var err error
 		if conn, err = pool.dial(ctx, address); err != nil {
@@ -107,7 +116,11 @@
 	}
 	if err := response.exchange(request); err != nil {
 		response.Abort()
-		return nil, &InterruptedError{Cause: err}
+		dropped := kept && conn.source.received == 0 && closedByPeer(err)
+		if dropped {
+			pool.closeOlder(conn)
+		}
+		return nil, &InterruptedError{Cause: err, Dropped: dropped}
 	}
 	return response, nil
 }
@@ -125,6 +138,7 @@
 		// An empty value keeps net/http from adding its own User-Agent.
 		request.Header["User-Agent"] = []string{""}
 	}
+	response.conn.used, response.conn.source.received = true, 0
 	response.writeResult = make(chan error, 1)
 	write := func() {
 		writer := bufio.NewWriterSize(response.conn, bufferSize)
--- a/internal/gate/conns/pool.go
+++ b/internal/gate/conns/pool.go
@@ -118,6 +118,9 @@
 			// The others have been idle for longer.
 			return nil
 		}
+		if request.Fresh && conn.used {
+			continue
+		}
 		if request.AnswerIDs == nil || conn.history.accepts(request.ID) {
 			pool.idle[address] = slices.Delete(conns, i, i+1)
 			return conn
@@ -126,6 +129,28 @@
 	return nil
 }
 
+// closeOlder closes the idle connections that have been idle for at least as long as one
+// that its target has dropped: it has probably dropped them, too.
+func (pool *Pool) closeOlder(dropped *conn) {
+	pool.mutex.Lock()
+	var older, kept []*conn
+	for _, conn := range pool.idle[dropped.address] {
+		if conn.idleSince.After(dropped.idleSince) {
+			kept = append(kept, conn)
+		} else {
+			older = append(older, conn)
+		}
+	}
+	if pool.idle[dropped.address] = kept; len(kept) == 0 {
+		delete(pool.idle, dropped.address)
+	}
+	pool.mutex.Unlock()
+	metrics.GetOrCreateCounter("agatestage_target_dropped_connections_total").Add(1 + len(older))
+	for _, conn := range older {
+		_ = conn.Close()
+	}
+}
+
 // Dial opens a connection and adds it to the pool, which shows that the target's
 // host accepts connections.
 func (pool *Pool) Dial(ctx context.Context, address netip.AddrPort) error {
--- a/internal/gate/relay/attempt.go
+++ b/internal/gate/relay/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 
 	"github.com/pkg/errors"
@@ -36,7 +37,7 @@
 	response, err := run.conns.Do(ctx, reservation.Target.Address, &conns.Request{
 		Method: run.call.Method, Host: run.call.Host, URI: run.call.Path, Body: run.call.Body,
 		Header:        run.dialect.Encode(run.call, reservation.Target, remaining, run.result.LastEventID),
-		NonIdempotent: !run.plan.Repeatable, ID: run.call.ID,
+		NonIdempotent: !run.plan.Repeatable, Fresh: slices.Contains(run.result.Targets, reservation.Target.ID), ID: run.call.ID,
 		AnswerIDs: func(status int, header http.Header) []string {
 			return run.dialect.Inspect(run.call, status, header).CallIDs
 		},
@@ -99,7 +100,10 @@
 	run.recordTarget(reservation.Target)
 	run.attempts++
 	run.result.Ran = true
-	return run.interrupted(ctx, watchdog, err)
+	end := run.interrupted(ctx, watchdog, err)
+	var interruptedError *conns.InterruptedError
+	end.dropped = errors.As(err, &interruptedError) && interruptedError.Dropped
+	return end
 }
 
 // interrupted returns the outcome of an exchange that broke off.
--- a/internal/gate/relay/relay.go
+++ b/internal/gate/relay/relay.go
@@ -4,7 +4,9 @@
 // An attempt ends in one of four ways: answered, certainly not run, interrupted
 // before any of the response was forwarded, or interrupted within a stream. A call
 // that has not run goes to another target. An interrupted call is retried only if
-// it may run more than once and its route allows another attempt. A resumable
+// it may run more than once and its route allows another attempt. It uses the same target
+// again, on a new connection, if that closed a kept connection without having answered and
+// no other target has a slot: sound targets drop idle connections. A resumable
 // stream continues after its last complete event, within the same response to the
 // caller.
 //
@@ -150,8 +152,10 @@
 	failed bool
 	// crashed is true if the target may be down, as the connection broke or was silent.
 	crashed bool
-	// silent is true if the target sent nothing for too long. A sound target may do so.
-	silent bool
+	// silent is true if the target sent nothing for too long, dropped if it closed a kept
+	// connection before it sent anything. A sound target may do either.
+	silent  bool
+	dropped bool
 }
 
 // buffered is a complete response.
@@ -168,10 +172,10 @@
 	plan   Plan
 	sink   Sink
 	result Result
-	// exclude holds the targets that the call must not use, silent those that were only
-	// silent, which it uses again if no other has a slot.
+	// exclude holds the targets that the call must not use, spare those that were only
+	// silent or dropped a kept connection, which it uses again if no other has a slot.
 	exclude []string
-	silent  []string
+	spare   []string
 	// next is the slot for the next attempt, if it is known already.
 	next       *sched.Reservation
 	rejections int
@@ -230,15 +234,15 @@
 			}
 			return
 		}
-		if end.silent {
-			run.silent = append(run.silent, reservation.Target.ID)
+		if end.silent || end.dropped {
+			run.spare = append(run.spare, reservation.Target.ID)
 		} else {
 			run.exclude = append(run.exclude, reservation.Target.ID)
 		}
 		if end.buffered != nil {
 			run.lastFailure = end.buffered
 		}
-		klog.InfoS("attempt failed", "call", run.call.ID, "target", reservation.Target.ID, "notRun", end.notRun, "reason", end.refusal.Message)
+		klog.InfoS("attempt failed", "call", run.call.ID, "target", reservation.Target.ID, "notRun", end.notRun, "dropped", end.dropped, "reason", end.refusal.Message)
 		if !run.mayRetry(ctx, end) {
 			run.fail(end.refusal)
 			return
@@ -290,13 +294,13 @@
 		run.next = nil
 		return reservation, nil
 	}
-	if len(run.silent) > 0 {
+	if len(run.spare) > 0 {
 		if reservation := run.sched.TryAcquire(run.request(run.tried())); reservation != nil {
 			return reservation, nil
 		}
 	}
 	request := run.request(run.exclude)
-	if len(run.silent) > 0 {
+	if len(run.spare) > 0 {
 		// Another gateway may serve the call in the other half of the time.
 		request.RecoveryTimeout = run.plan.Deadline.Sub(run.clock.Now()) / 2
 	}
@@ -314,7 +318,7 @@
 
 // tried returns the targets to which the call has been sent.
 func (run *run) tried() []string {
-	return slices.Concat(run.exclude, run.silent)
+	return slices.Concat(run.exclude, run.spare)
 }
 
 // mayRetry reports whether another attempt is allowed.
