gate/relay: the end of an incarnation doesn't take the next one out of use

What callers saw: 'no target' (503, or 502 after a try) for calls to a target that had just been listed anew under its id at another address, for 300 ms or longer, once a call that still ran at the incarnation before broke off, or a dial to that one failed.

Cause: the result of a probe was recorded by the target's ID (MarkSuspect, MarkDown, MarkSilent), whatever address had been dialed. The prober of gate/start asks whether the same incarnation is still listed; gate/relay didn't.

Ruled out: giving sched's methods the endpoint instead of the ID, which closes a window of microseconds between question and mark, for a change of some fifty places.

Change: gate/relay asks, too. The call is blamed for the incarnation that ended, as before.

--- a/internal/gate/relay/probe.go
+++ b/internal/gate/relay/probe.go
@@ -63,7 +63,9 @@
 // dial tries to connect to a target. The target gets no new calls until conclude is
 // called with the error.
 func (relay *Relay) dial(endpoint agatestage.Endpoint) error {
-	relay.sched.MarkSuspect(endpoint.ID)
+	if relay.sched.Lists(endpoint) {
+		relay.sched.MarkSuspect(endpoint.ID)
+	}
 	timer := relay.clock.NewTimer(crashProbeDelay)
 	defer timer.Stop()
 	<-timer.C()
@@ -74,21 +76,28 @@
 // if it did not.
 func (relay *Relay) conclude(endpoint agatestage.Endpoint, err error) {
 	if err == nil {
-		relay.sched.ClearSuspect(endpoint.ID)
+		if relay.sched.Lists(endpoint) {
+			relay.sched.ClearSuspect(endpoint.ID)
+		}
 		return
 	}
 	klog.InfoS("target accepts no connections", "target", endpoint.ID, "address", endpoint.Address, "cause", err)
 	relay.markUnreachable(endpoint, err)
 }
 
-// markUnreachable takes a target out of use to which a dial failed.
+// markUnreachable takes a target out of use to which a dial failed, unless another
+// incarnation is listed under its ID by now.
 func (relay *Relay) markUnreachable(endpoint agatestage.Endpoint, cause error) {
 	if refused(cause) {
 		for _, call := range relay.abandoned.take(endpoint.ID, relay.clock.Now()) {
 			relay.blameFor(call, endpoint)
 		}
+	}
+	switch {
+	case !relay.sched.Lists(endpoint):
+	case refused(cause):
 		relay.sched.MarkDown(endpoint.ID)
-	} else {
+	default:
 		relay.sched.MarkSilent(endpoint.ID)
 	}
 }
