gate/relay: targets that are gone don't use up a call's rejections

What callers saw: 'no target' (503) though a sound target and time were left, for calls that came upon four targets that were gone before the list said so: nothing listens at their addresses any more (a rack that goes down, engines that are replaced), or others got them (421).

Cause: maxRejections bounds how many targets may turn a call away, so that calls don't make the rounds of busy ones. Targets that are gone counted as well, although no call is sent to them again.

Ruled out: lifting the bound; busy and silent targets still count.

Change: refused connections and 421 don't count. Each is tried once by one call, within its deadline; nothing has run there, so max_attempts is untouched.

--- a/internal/gate/relay/attempt.go
+++ b/internal/gate/relay/attempt.go
@@ -91,7 +91,8 @@
 		case ctx.Err() != nil:
 			end.done = true
 		default:
-			end.silent = !refused(notSentError.Cause)
+			end.gone = refused(notSentError.Cause)
+			end.silent = !end.gone
 			run.markUnreachable(reservation.Target, notSentError.Cause)
 		}
 		run.result.Preempted = watchdog.ended() == endedPreempted
@@ -139,7 +140,9 @@
 	response.Discard(maxResponseBytes, minRemaining)
 	if info.Replaced {
 		reservation.MarkReplaced()
-		return notRun(agatestage.CodeNoTarget, "another incarnation has the address of target %s", reservation.Target.ID)
+		end := notRun(agatestage.CodeNoTarget, "another incarnation has the address of target %s", reservation.Target.ID)
+		end.gone = true
+		return end
 	}
 	return notRun(agatestage.CodeBusy, "target %s turned the call away with status %d", reservation.Target.ID, response.Status)
 }
--- a/internal/gate/relay/relay.go
+++ b/internal/gate/relay/relay.go
@@ -30,8 +30,9 @@
 )
 
 const (
-	// maxRejections bounds the targets that may reject a call without running it
-	// before the call is refused.
+	// maxRejections bounds the targets that may reject a call without running it, or be
+	// silent, before the call is refused. Those that are gone don't count: no call tries
+	// them again.
 	maxRejections = 4
 	// maxResponseBytes bounds a response that is buffered until it is complete.
 	maxResponseBytes = 4 << 20
@@ -141,8 +142,10 @@
 	// done is true if the caller has its final response, or cannot be served any
 	// further.
 	done bool
-	// notRun is true if the target has not run the call.
+	// notRun is true if the target has not run the call; gone if that is because nothing
+	// listens at its address, or another incarnation does.
 	notRun bool
+	gone   bool
 	// refusal describes what went wrong.
 	refusal *agatestage.Refusal
 	// buffered is an error response of the target, which is forwarded if no later
@@ -178,6 +181,7 @@
 	spare   []string
 	// next is the slot for the next attempt, if it is known already.
 	next       *sched.Reservation
+	placed     int
 	rejections int
 	attempts   int
 	// trialRan is true if a target may still run the call on trial.
@@ -210,8 +214,9 @@
 			run.fail(asRefusal(err))
 			return
 		}
+		run.placed++
 		klog.InfoS("call placed", "call", run.call.ID, "target", reservation.Target.ID, "service", run.plan.Service, "batch", run.plan.Batch,
-			"attempt", run.attempts+run.rejections+1, "waited", reservation.Waited, "free", reservation.Free, "heardAge", reservation.RemoteCountsAge, "way", reservation.Placement,
+			"attempt", run.placed, "waited", reservation.Waited, "free", reservation.Free, "heardAge", reservation.RemoteCountsAge, "way", reservation.Placement,
 			"after", run.result.LastEventID)
 		began := run.clock.Now()
 		end := run.attempt(ctx, reservation)
@@ -330,7 +335,9 @@
 		// A batch call is retried by its job, which may use this target again. It
 		// uses few targets, so a retry here would wait for a target that it may not
 		// use.
-		run.rejections++
+		if !end.gone {
+			run.rejections++
+		}
 		return run.rejections < maxRejections && (!run.plan.Batch || run.next != nil)
 	}
 	if !run.plan.Repeatable || (run.result.ResponseStarted && !run.plan.Resumable) {
