--- a/internal/gate/relay/relay_test.go
+++ b/internal/gate/relay/relay_test.go
@@ -61,7 +61,10 @@
 }
 
 func newFixtureWithClock(clock agatestage.Clock, targets ...*target) *fixture {
-	fixture := &fixture{sched: sched.New(clock, "region", "zone", sched.WithRandom(func(int) int { return 0 })), strikes: make(chan blame.Strike, 64)}
+	pool := conns.New(clock)
+	fixture := &fixture{strikes: make(chan blame.Strike, 64)}
+	fixture.sched = sched.New(clock, "region", "zone", sched.WithRandom(func(int) int { return 0 }),
+		sched.WithRemovedHandler(func(endpoint agatestage.Endpoint) { pool.CloseIdle(endpoint.Address) }))
 	homes := make(map[string]bool)
 	for i, target := range targets {
 		id := fmt.Sprint("target-", i)
@@ -75,7 +78,7 @@
 	fixture.sched.Apply(fixture.endpoints)
 	fixture.sched.SetHomes(homes)
 	fixture.list = blame.New(clock)
-	fixture.Relay = relay.New(clock, fixture.sched, conns.New(clock), dialect{}, fixture.list, relay.WithStrikes(func(strike blame.Strike) { fixture.strikes <- strike }))
+	fixture.Relay = relay.New(clock, fixture.sched, pool, dialect{}, fixture.list, relay.WithStrikes(func(strike blame.Strike) { fixture.strikes <- strike }))
 	return fixture
 }
 
