plat/proxy: a target's head without end is read up to 64 KB

Ruled out: bodies.

Change: MaxResponseHeaderBytes, of the size that gate/conns allows; it covers the informational answers before the head as well.

--- a/internal/plat/proxy/proxy.go
+++ b/internal/plat/proxy/proxy.go
@@ -29,6 +29,9 @@
 	keepAliveIdle     = time.Second
 	keepAliveInterval = time.Second
 	keepAliveCount    = 3
+	// maxHeadBytes bounds the head of an answer and all informational answers before it.
+	// A faulty target may send either without end.
+	maxHeadBytes = 64 << 10
 )
 
 // Lost is the error of a call whose target closed or refused the connection.
@@ -75,9 +78,10 @@
 		Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
 	}}
 	return &http.Transport{
-		DialContext:        dialer.DialContext,
-		DisableKeepAlives:  true,
-		DisableCompression: true,
+		DialContext:            dialer.DialContext,
+		DisableKeepAlives:      true,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}
 }
 
