plat/engine, plat/rest: an engine's reply without end is read up to 1 MB

What could happen: a faulty engine answers a side's query, which comes every second, without end. 64 MB of it were read within the query's 2 s, for which 248 MB were allocated; a side has 216 MB. A reply that was larger than the bound failed as JSON only because it was cut.

Ruled out: a smaller bound for all of plat/rest, whose other callers are the platform's store and list of hosts.

Change: rest.DoWithin takes the bound and says so if a reply exceeds it; engines get 1 MB for queries and orders, whose replies list a few models.

--- a/internal/plat/engine/engine.go
+++ b/internal/plat/engine/engine.go
@@ -20,6 +20,8 @@
 	// load a model.
 	queryTimeout = 2 * time.Second
 	orderTimeout = 10 * time.Minute
+	// maxReplyBytes bounds the reply to either. A faulty engine may send one without end.
+	maxReplyBytes = 1 << 20
 )
 
 // Engine is a model engine. It implements agatestage.Target.
@@ -36,7 +38,7 @@
 func (engine *Engine) Holdings(ctx context.Context) (holdings []agatestage.Holding, err error) {
 	ctx, cancel := context.WithTimeout(ctx, queryTimeout)
 	defer cancel()
-	err = rest.Do(ctx, engine.HTTP(), http.MethodGet, engine.URL("/holdings"), nil, &holdings)
+	err = rest.DoWithin(ctx, engine.HTTP(), http.MethodGet, engine.URL("/holdings"), nil, &holdings, maxReplyBytes)
 	return holdings, err
 }
 
@@ -44,7 +46,7 @@
 func (engine *Engine) Order(ctx context.Context, order agatestage.Order) error {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
-	return rest.Do(ctx, engine.HTTP(), http.MethodPost, engine.URL("/orders"), order, nil)
+	return rest.DoWithin(ctx, engine.HTTP(), http.MethodPost, engine.URL("/orders"), order, nil, maxReplyBytes)
 }
 
 // Service is a plain service. It implements agatestage.Target.
--- a/internal/plat/rest/rest.go
+++ b/internal/plat/rest/rest.go
@@ -40,7 +40,12 @@
 }
 
 // Do sends request as JSON, or an empty body if it is nil, and decodes the reply.
-func Do(ctx context.Context, client *http.Client, method, url string, request, reply any) (err error) {
+func Do(ctx context.Context, client *http.Client, method, url string, request, reply any) error {
+	return DoWithin(ctx, client, method, url, request, reply, maxReplyBytes)
+}
+
+// DoWithin does the same and fails if the reply is larger than the limit in bytes.
+func DoWithin(ctx context.Context, client *http.Client, method, url string, request, reply any, limit int64) (err error) {
 	var body io.Reader
 	if request != nil {
 		var data []byte
@@ -60,9 +65,12 @@
 	}
 	defer response.Body.Close()
 	var data []byte
-	if data, err = io.ReadAll(io.LimitReader(response.Body, maxReplyBytes)); err != nil {
+	if data, err = io.ReadAll(io.LimitReader(response.Body, limit+1)); err != nil {
 		return errors.Wrap(err, "read reply")
 	}
+	if int64(len(data)) > limit {
+		return errors.Errorf("the reply is larger than %d bytes", limit)
+	}
 	if response.StatusCode != http.StatusOK {
 		return &StatusError{Code: response.StatusCode, Message: string(bytes.TrimSpace(data))}
 	}
