--- a/internal/entry/relay/reader_test.go
+++ b/internal/entry/relay/reader_test.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
+	clocktest "k8s.io/utils/clock/testing"
 
 	"github.com/agatestage/agatestage"
 	"github.com/agatestage/agatestage/internal/fake/nodes"
@@ -40,6 +42,8 @@
 const (
 	ownID = "own"
 	text  = "the whole answer"
+	// slowParts is the number of parts of a slow answer.
+	slowParts = 20
 )
 
 func head(id string) calls.AnswerPart {
@@ -62,6 +66,17 @@
 // read has a side send the parts and returns the reader's outcome and the sink.
 // With hang the side then keeps the exchange open without sending anything more.
 func read(hang bool, answerParts ...calls.AnswerPart) (outcome, *sink) {
+	ginkgo.GinkgoHelper()
+	timeouts := Timeouts{FirstByte: time.Minute, Between: time.Minute}
+	if hang {
+		timeouts = Timeouts{FirstByte: 100 * time.Millisecond, Between: 100 * time.Millisecond}
+	}
+	sink := &sink{}
+	return readInto(sink, agatestage.SystemClock(), timeouts, hang, answerParts...), sink
+}
+
+// readInto does the same with the sink, clock and time-outs.
+func readInto(sink Sink, clock agatestage.Clock, timeouts Timeouts, hang bool, answerParts ...calls.AnswerPart) outcome {
 	ginkgo.GinkgoHelper()
 	ctx, cancel := context.WithCancel(context.Background())
 	ginkgo.DeferCleanup(cancel)
@@ -85,16 +100,23 @@
 	defer finish()
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
-	sink := &sink{}
-	timeouts := Timeouts{FirstByte: time.Minute, Between: time.Minute}
-	if hang {
-		timeouts = Timeouts{FirstByte: 100 * time.Millisecond, Between: 100 * time.Millisecond}
-	}
 	reader := reader{
-		relay: &Relay{clock: agatestage.SystemClock()}, stream: stream, timeouts: timeouts, sink: sink, id: ownID,
+		relay: &Relay{clock: clock}, stream: stream, timeouts: timeouts, sink: sink, id: ownID,
 		cancel: func() { stop(); stream.Abort() },
 	}
-	return reader.read(ctx), sink
+	return reader.read(ctx)
+}
+
+// slowSink lets time pass before each part.
+type slowSink struct {
+	sink
+	clock *clocktest.FakeClock
+	pause time.Duration
+}
+
+func (slowSink *slowSink) Data(data []byte) error {
+	slowSink.clock.Step(slowSink.pause)
+	return slowSink.sink.Data(data)
 }
 
 func expectUnknown(result outcome, responseStarted bool) {
@@ -132,6 +154,17 @@
 		expectUnknown(result, false)
 	})
 
+	ginkgo.It("that is slow but sound is relayed completely", func() {
+		sink := &slowSink{clock: clocktest.NewFakeClock(time.Unix(1000, 0)), pause: 9 * time.Second}
+		parts := []calls.AnswerPart{head(ownID)}
+		for range slowParts {
+			parts = append(parts, data)
+		}
+		result := readInto(sink, sink.clock, Timeouts{FirstByte: 10 * time.Second, Between: 10 * time.Second}, false, append(parts, end(ownID))...)
+		gomega.Expect(result.refusal).To(gomega.BeNil())
+		gomega.Expect(sink.text).To(gomega.Equal(strings.Repeat(text, slowParts)))
+	})
+
 	ginkgo.It("that stalls times out", func() {
 		result, _ := read(true, head(ownID), data)
 		expectUnknown(result, true)
