entry/relay: a link that is lost leaves its target in use

What callers saw: TargetFailed (502) for an idempotent call to the only target of a service or model, though the target was sound, when the kept link to its side had stopped passing data (a device on the path lost track of it, a side's process was replaced): 'the link to the target's side was lost', then 'no other target can take the call'.

Ruled out: verifying each link before each call, which costs every call a round trip. Sending to the same target first: another one that is free may be at a side that is there.

Change: a target whose link was lost before any of the answer is used again, once, if no other can take the call. Calls that aren't idempotent are never sent again. A target that went down is reported by its side over a link that works, and is left out as before; a request whose side's host goes down each time is sent there once more than before if no other target is left.

--- a/internal/entry/relay/reader.go
+++ b/internal/entry/relay/reader.go
@@ -36,6 +36,7 @@
 		var answerPart calls.AnswerPart
 		if err := reader.stream.Receive(&answerPart); err != nil {
 			result.refusal = reader.receiveError(ctx)
+			result.linkLost = !result.responseStarted && !reader.timedOut.Load() && ctx.Err() == nil
 			return result
 		}
 		switch {
--- a/internal/entry/relay/relay.go
+++ b/internal/entry/relay/relay.go
@@ -4,12 +4,14 @@
 // An attempt has one of three outcomes: answered, not run, or unknown. A call that
 // has not run is retried on another target. After an unknown outcome it is retried
 // only if it is idempotent and the retry budget allows it, and only before the
-// first byte of an answer has been sent to the caller. The caller's deadline covers
-// all attempts together.
+// first byte of an answer has been sent to the caller. It goes to another target, or, once,
+// to the same one if the link to its side was lost: that says nothing about the target. The
+// caller's deadline covers all attempts together.
 package relay
 
 import (
 	"context"
+	"maps"
 	"net/http"
 	"time"
 
@@ -101,8 +103,10 @@
 	responseStarted bool
 	refusal         *agatestage.Refusal
 	targetLost      bool
-	// unreachable is true if the target's side could not be reached.
+	// unreachable is true if the target's side could not be reached, linkLost if the link
+	// to it was lost before any of the answer had arrived.
 	unreachable bool
+	linkLost    bool
 }
 
 // Do sends the call until it is answered or must not be retried. It returns
@@ -111,7 +115,7 @@
 func (relay *Relay) Do(ctx context.Context, call *agatestage.Call, timeouts Timeouts, sink Sink) (responseStarted bool, err error) {
 	relay.budget.RecordRequest()
 	timeouts = timeouts.withDefaults()
-	tried := make(map[string]bool)
+	tried, spare := make(map[string]bool), make(map[string]bool)
 	ran := agatestage.RanNo
 	var lastRefusal *agatestage.Refusal
 	// trialRan is true if a target may still run the call on trial.
@@ -126,7 +130,7 @@
 			return false, withRan(err, ran)
 		}
 		var candidate agatestage.Candidate
-		if candidate, err = relay.pickTarget(ctx, call, tried); err != nil {
+		if candidate, err = relay.pickTarget(ctx, call, tried, spare); err != nil {
 			if lastRefusal != nil {
 				return false, withRan(lastRefusal, ran)
 			}
@@ -138,10 +142,13 @@
 		if result.targetLost {
 			relay.recordStrike(ctx, call, candidate)
 		}
-		if result.unreachable {
-			// The fleet keeps calls from it until it reports again.
+		if result.unreachable || result.linkLost && !spare[candidate.Target] {
+			// The fleet keeps calls from an unreachable one until it reports again.
 			delete(tried, candidate.Target)
 		}
+		if result.linkLost {
+			spare[candidate.Target] = true
+		}
 		if result.refusal == nil {
 			relay.reportCompletion(ctx, call)
 		}
@@ -219,10 +226,18 @@
 	return call.Idempotent && relay.budget.Allow()
 }
 
-// pickTarget picks a target that has not been tried. Unless one has been reached, it
-// waits up to targetWaitTimeout if there is no target yet, all are busy or their sides
-// are silent.
-func (relay *Relay) pickTarget(ctx context.Context, call *agatestage.Call, tried map[string]bool) (agatestage.Candidate, error) {
+// pickTarget picks a target that has not been tried, and a spare one only if no other can
+// take the call. Unless one has been reached, it waits up to targetWaitTimeout if there is
+// no target yet, all are busy or their sides are silent.
+func (relay *Relay) pickTarget(ctx context.Context, call *agatestage.Call, tried, spare map[string]bool) (agatestage.Candidate, error) {
+	if len(spare) > 0 {
+		except := maps.Clone(spare)
+		maps.Copy(except, tried)
+		candidates := relay.fleet.Candidates(call, except)
+		if i := relay.router.Pick(call, candidates); i >= 0 {
+			return candidates[i], nil
+		}
+	}
 	timer := relay.clock.NewTimer(targetWaitTimeout)
 	defer timer.Stop()
 	for {
@@ -269,6 +284,7 @@
 	reader := reader{relay: relay, stream: stream, timeouts: timeouts, sink: sink, cancel: cancel, id: request.Call.ID}
 	if err = stream.Send(request); err != nil {
 		result.refusal = unknownOutcome(ctx, "the call was cut off on its way to the target")
+		result.linkLost = ctx.Err() == nil
 		return result
 	}
 	result = reader.read(ctx)
