--- a/internal/gate/relay/relay.go
+++ b/internal/gate/relay/relay.go
@@ -4,7 +4,9 @@
 // An attempt ends in one of four ways: answered, certainly not run, interrupted
 // before any of the response was forwarded, or interrupted within a stream. A call
 // that has not run goes to another target. An interrupted call is retried only if
-// it may run more than once and its route allows another attempt. A resumable
+// it may run more than once and its route allows another attempt. It uses the same target
+// again, on a new connection, if that closed a kept connection without having answered and
+// no other target has a slot: sound targets drop idle connections. A resumable
 // stream continues after its last complete event, within the same response to the
 // caller.
 //
@@ -28,8 +30,9 @@
 )
 
 const (
-	// maxRejections bounds the targets that may reject a call without running it
-	// before the call is refused.
+	// maxRejections bounds the targets that may reject a call without running it, or be
+	// silent, before the call is refused. Those that are gone don't count: no call tries
+	// them again.
 	maxRejections = 4
 	// maxResponseBytes bounds a response that is buffered until it is complete.
 	maxResponseBytes = 4 << 20
@@ -139,8 +142,10 @@
 	// done is true if the caller has its final response, or cannot be served any
 	// further.
 	done bool
-	// notRun is true if the target has not run the call.
+	// notRun is true if the target has not run the call; gone if that is because nothing
+	// listens at its address, or another incarnation does.
 	notRun bool
+	gone   bool
 	// refusal describes what went wrong.
 	refusal *agatestage.Refusal
 	// buffered is an error response of the target, which is forwarded if no later
@@ -150,8 +155,10 @@
 	failed bool
 	// crashed is true if the target may be down, as the connection broke or was silent.
 	crashed bool
-	// silent is true if the target sent nothing for too long. A sound target may do so.
-	silent bool
+	// silent is true if the target sent nothing for too long, dropped if it closed a kept
+	// connection before it sent anything. A sound target may do either.
+	silent  bool
+	dropped bool
 }
 
 // buffered is a complete response.
@@ -168,12 +175,13 @@
 	plan   Plan
 	sink   Sink
 	result Result
-	// exclude holds the targets that the call must not use, silent those that were only
-	// silent, which it uses again if no other has a slot.
+	// exclude holds the targets that the call must not use, spare those that were only
+	// silent or dropped a kept connection, which it uses again if no other has a slot.
 	exclude []string
-	silent  []string
+	spare   []string
 	// next is the slot for the next attempt, if it is known already.
 	next       *sched.Reservation
+	placed     int
 	rejections int
 	attempts   int
 	// trialRan is true if a target may still run the call on trial.
@@ -206,8 +214,9 @@
 			run.fail(asRefusal(err))
 			return
 		}
+		run.placed++
 		klog.InfoS("call placed", "call", run.call.ID, "target", reservation.Target.ID, "service", run.plan.Service, "batch", run.plan.Batch,
-			"attempt", run.attempts+run.rejections+1, "waited", reservation.Waited, "free", reservation.Free, "heardAge", reservation.RemoteCountsAge, "way", reservation.Placement,
+			"attempt", run.placed, "waited", reservation.Waited, "free", reservation.Free, "heardAge", reservation.RemoteCountsAge, "way", reservation.Placement,
 			"after", run.result.LastEventID)
 		began := run.clock.Now()
 		end := run.attempt(ctx, reservation)
@@ -230,15 +239,15 @@
 			}
 			return
 		}
-		if end.silent {
-			run.silent = append(run.silent, reservation.Target.ID)
+		if end.silent || end.dropped {
+			run.spare = append(run.spare, reservation.Target.ID)
 		} else {
 			run.exclude = append(run.exclude, reservation.Target.ID)
 		}
 		if end.buffered != nil {
 			run.lastFailure = end.buffered
 		}
-		klog.InfoS("attempt failed", "call", run.call.ID, "target", reservation.Target.ID, "notRun", end.notRun, "reason", end.refusal.Message)
+		klog.InfoS("attempt failed", "call", run.call.ID, "target", reservation.Target.ID, "notRun", end.notRun, "dropped", end.dropped, "reason", end.refusal.Message)
 		if !run.mayRetry(ctx, end) {
 			run.fail(end.refusal)
 			return
@@ -290,13 +299,13 @@
 		run.next = nil
 		return reservation, nil
 	}
-	if len(run.silent) > 0 {
+	if len(run.spare) > 0 {
 		if reservation := run.sched.TryAcquire(run.request(run.tried())); reservation != nil {
 			return reservation, nil
 		}
 	}
 	request := run.request(run.exclude)
-	if len(run.silent) > 0 {
+	if len(run.spare) > 0 {
 		// Another gateway may serve the call in the other half of the time.
 		request.RecoveryTimeout = run.plan.Deadline.Sub(run.clock.Now()) / 2
 	}
@@ -314,7 +323,7 @@
 
 // tried returns the targets to which the call has been sent.
 func (run *run) tried() []string {
-	return slices.Concat(run.exclude, run.silent)
+	return slices.Concat(run.exclude, run.spare)
 }
 
 // mayRetry reports whether another attempt is allowed.
@@ -326,7 +335,9 @@
 		// A batch call is retried by its job, which may use this target again. It
 		// uses few targets, so a retry here would wait for a target that it may not
 		// use.
-		run.rejections++
+		if !end.gone {
+			run.rejections++
+		}
 		return run.rejections < maxRejections && (!run.plan.Batch || run.next != nil)
 	}
 	if !run.plan.Repeatable || (run.result.ResponseStarted && !run.plan.Resumable) {
