entry/front: a caller that has closed its sending side gets an answer, and no stream that looks complete

What callers saw: if the caller closed its sending side (TCP half-close) while its call ran, status 200 with an empty body. If its stream had begun, the stream ended as if it were complete.

Cause: relayCall returns without writing once the request's context has ended, as the caller has disconnected. net/http makes an empty success of that, and ends a chunked answer properly.

Ruled out: running the call to its end nevertheless, as a caller that has gone would then occupy a target (gateways cancel it, too).

Change: such a call is refused with what is true of it: not run (503, CallerLeft), or may have run (504, as at gateways). An answer that has begun is aborted. entry/relay says that the call was cancelled instead of that a link or side was lost. One log line each; entries wrote none.

--- a/internal/entry/front/front.go
+++ b/internal/entry/front/front.go
@@ -13,6 +13,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/cespare/xxhash/v2"
 	"github.com/gorilla/mux"
+	"k8s.io/klog/v2"
 
 	"github.com/agatestage/agatestage"
 	"github.com/agatestage/agatestage/internal/base/inlet"
@@ -189,9 +190,9 @@
 		front.observe(call.Organisation, route.Name, "", startedAt, sink)
 		return
 	}
-	if request.Context().Err() != nil && !inlet.GivenUp(request.Context()) {
-		// The caller has disconnected, which is not an error of the system.
-		return
+	if callerLeft(request) {
+		err = afterLeaving(err)
+		klog.InfoS("request cancelled as its caller left", "organisation", call.Organisation, "route", route.Name, "begun", responseStarted, "reason", err.Error())
 	}
 	if !responseStarted {
 		front.refuse(writer, call.Organisation, route.Name, startedAt, err)
--- a/internal/entry/relay/relay.go
+++ b/internal/entry/relay/relay.go
@@ -253,10 +253,12 @@
 	defer cancel()
 	stream, finish, err := relay.openExchange(ctx, call, candidate)
 	if err != nil {
-		if ctx.Err() == nil {
-			result.unreachable = true
-			relay.fleet.MarkUnreachable(candidate.Target)
+		if ctx.Err() != nil {
+			result.refusal = agatestage.Refuse(agatestage.CodeDeadline, "the call ended before the side of target %s was reached", candidate.Target)
+			return result
 		}
+		result.unreachable = true
+		relay.fleet.MarkUnreachable(candidate.Target)
 		result.refusal = agatestage.Refuse(agatestage.CodeNoTarget, "the side of target %s is not reachable", candidate.Target)
 		return result
 	}
@@ -307,8 +309,11 @@
 // unknownOutcome returns the refusal of a call that may have run.
 func unknownOutcome(ctx context.Context, message string) *agatestage.Refusal {
 	refusal := &agatestage.Refusal{Code: agatestage.CodeTargetFailed, Message: message, Ran: agatestage.RanUnknown}
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		refusal.Code = agatestage.CodeDeadline
+	case ctx.Err() != nil:
+		refusal.Code, refusal.Message = agatestage.CodeDeadline, "the call was cancelled before the answer was complete"
 	}
 	return refusal
 }
