entry/front: a request whose caller has left is refused as not run, uncharged

What callers saw: if the caller's bytes ended right behind its request, it was charged to the organisation's rate and passed to a side; an order ran for nobody, and a caller that had closed only its sending side was told that it may have run. If it was cancelled while it waited for its rate, it was told that it had run out of time.

Change: such a request is refused (503, CallerLeft) before its rate is charged, and again before it is passed to a side; one that was cancelled while it waited for its rate gets the same refusal. It has a log line with organisation and route.

--- a/internal/entry/front/front.go
+++ b/internal/entry/front/front.go
@@ -167,7 +167,13 @@
 	if !route.Permits(organisation) {
 		return organisation, agatestage.Refuse(agatestage.CodeForbidden, "organisation %s may not use route %s", organisation, route.Name)
 	}
-	return organisation, front.limiter.Admit(request.Context(), organisation)
+	if inlet.CallerLeft(request.Context()) {
+		return organisation, agatestage.RefuseCallerLeft()
+	}
+	if err = front.limiter.Admit(request.Context(), organisation); err != nil && callerLeft(request) {
+		return organisation, afterLeaving(err)
+	}
+	return organisation, err
 }
 
 // relayCall relays the call within its time-out.
@@ -176,6 +182,9 @@
 	if ends := inlet.Ends(request.Context()); err == nil && !ends.IsZero() && startedAt.Add(timeout).After(ends) {
 		err = agatestage.RefuseStopping()
 	}
+	if err == nil && inlet.CallerLeft(request.Context()) {
+		err = agatestage.RefuseCallerLeft()
+	}
 	if err != nil {
 		front.refuse(writer, call.Organisation, route.Name, startedAt, err)
 		return
@@ -191,8 +200,10 @@
 		return
 	}
 	if callerLeft(request) {
-		err = afterLeaving(err)
-		klog.InfoS("request cancelled as its caller left", "organisation", call.Organisation, "route", route.Name, "begun", responseStarted, "reason", err.Error())
+		refusal := afterLeaving(err)
+		if err = refusal; refusal.Code != agatestage.CodeCallerLeft {
+			klog.InfoS("request cancelled as its caller left", "organisation", call.Organisation, "route", route.Name, "begun", responseStarted, "reason", refusal.Message)
+		}
 	}
 	if !responseStarted {
 		front.refuse(writer, call.Organisation, route.Name, startedAt, err)
@@ -233,8 +244,12 @@
 
 // refuse counts and writes a refusal.
 func (front *Front) refuse(writer http.ResponseWriter, organisation, route string, startedAt time.Time, err error) {
-	front.observe(organisation, route, reply.AsRefusal(err).Code, startedAt, nil)
-	reply.Refuse(writer, err)
+	refusal := reply.AsRefusal(err)
+	if refusal.Code == agatestage.CodeCallerLeft {
+		klog.InfoS("request refused", "organisation", organisation, "route", route, "code", refusal.Code, "reason", refusal.Message)
+	}
+	front.observe(organisation, route, refusal.Code, startedAt, nil)
+	reply.Refuse(writer, refusal)
 }
 
 // maxOrganisationSeries bounds the number of organisations that have their own
