gate/batch, state/member: a job isn't taken over from a gateway that is back

What callers saw: an owner that loses its lease and is back has its job confirmed under its next lease, while another gateway, which hasn't seen its new membership record, takes the job over. The former owner answers for the job until it gets the new owner's note or writes: results that were read elsewhere are missing there.

Cause: a take-over is conditional on the job's head only, which the confirmation doesn't change.

Ruled out: confirming by a write (a priced write for each job and lease); reading the membership record before each take-over (a priced read; the record may still come between read and write).

Change: the transaction of a take-over demands that the owner's membership record is absent. If it is there, the record, which names its process now, is read: one of another process or of another writer is no obstacle, and the job is taken over on the condition that it still stands; else the owner keeps its jobs for a second before it is tried again. No condition is set if a later process of the owner has been heard (gossip knows the order), for a restarted gateway's own jobs and for jobs without an owner, so restarts and planned stops cost what they did. A gateway that is told to take a job over checks the same.

--- a/internal/gate/batch/fixture_test.go
+++ b/internal/gate/batch/fixture_test.go
@@ -121,6 +121,16 @@
 	return true
 }
 
+// Replaced implements batch.Fleet.
+func (fakeFleet *fakeFleet) Replaced(name, instance string) bool {
+	for _, gateway := range fakeFleet.Alive() {
+		if gateway.Name == name {
+			return gateway.Instance != instance
+		}
+	}
+	return false
+}
+
 func (fakeFleet *fakeFleet) Watching() bool {
 	fakeFleet.mutex.Lock()
 	defer fakeFleet.mutex.Unlock()
--- a/internal/gate/batch/jobstore.go
+++ b/internal/gate/batch/jobstore.go
@@ -22,6 +22,10 @@
 // errHeadChanged means that another writer has changed the head.
 var errHeadChanged = errors.New("the job's head has been changed by another gateway")
 
+// errConditionFailed is the errHeadChanged of a write whose head hasn't changed: a condition
+// on another record doesn't hold.
+var errConditionFailed = errors.Wrap(errHeadChanged, "a condition on another record does not hold")
+
 // jobStore reads and writes the records of jobs.
 type jobStore struct {
 	store agatestage.Transactor
@@ -42,11 +46,17 @@
 // wraps agatestage.ErrUnavailable, the write has certainly not been executed; after
 // any other error its outcome is unknown.
 func (jobStore *jobStore) writeHead(ctx context.Context, before versionedHead, head Head, others ...agatestage.Write) (versionedHead, error) {
+	return jobStore.writeHeadIf(ctx, nil, before, head, others...)
+}
+
+// writeHeadIf is writeHead with conditions on other records. The error is
+// errConditionFailed if one of them doesn't hold.
+func (jobStore *jobStore) writeHeadIf(ctx context.Context, conditions []agatestage.Condition, before versionedHead, head Head, others ...agatestage.Write) (versionedHead, error) {
 	data, err := head.encode()
 	if err != nil {
 		return before, errors.Wrap(agatestage.ErrUnavailable, err.Error())
 	}
-	conditions := []agatestage.Condition{{Key: headKey(head.ID), Version: before.version}}
+	conditions = append([]agatestage.Condition{{Key: headKey(head.ID), Version: before.version}}, conditions...)
 	writes := append([]agatestage.Write{{Key: headKey(head.ID), Value: data}}, others...)
 	version, err := jobStore.store.Commit(ctx, conditions, writes)
 	switch {
@@ -68,10 +78,10 @@
 			return versionedHead{Head: head, version: record.Version}, nil
 		case err == nil && record.Version != before.version, errors.Is(err, agatestage.ErrNotFound) && before.version != 0:
 			return before, errHeadChanged
-		case errors.Is(cause, agatestage.ErrConflict):
-			if err == nil || errors.Is(err, agatestage.ErrNotFound) {
-				return before, errHeadChanged
-			}
+		case errors.Is(cause, agatestage.ErrConflict) && err == nil:
+			return before, errConditionFailed
+		case errors.Is(cause, agatestage.ErrConflict) && errors.Is(err, agatestage.ErrNotFound):
+			return before, errHeadChanged
 		}
 		ticks.Wait(ctx, jobStore.clock, resolvePause)
 		if ctx.Err() != nil {
--- a/internal/gate/batch/manager.go
+++ b/internal/gate/batch/manager.go
@@ -50,6 +50,9 @@
 	// Gone reports whether a process of a gateway has certainly ended or lost its
 	// lease.
 	Gone(name, instance string) bool
+	// Replaced reports whether another process of a gateway has been heard after the given
+	// one.
+	Replaced(name, instance string) bool
 	// StoreOutage returns how long the store has been failing, or zero.
 	StoreOutage() time.Duration
 	// Hold returns this gateway's lease, "" if it has none, the store's revision at which
@@ -95,6 +98,9 @@
 	// placements holds the items that were recently placed at each gateway and that
 	// its reported backlog may not include yet.
 	placements map[string]placement
+	// returned holds when the store last showed that a gateway which seemed to be gone is
+	// a member.
+	returned map[string]time.Time
 	// assigned holds the time of the last take-over request that was sent for each job.
 	assigned map[string]time.Time
 	// unchanged holds the version of each open head of another gateway, and since when
@@ -139,7 +145,7 @@
 		name: self.Name, instance: self.Instance, region: self.Region, clock: clock, jobStore: &jobStore{store: store, clock: clock},
 		runner: runner, rules: holder, fleet: fleet, storeHealth: feeds.NewStoreHealth(clock), duty: feeds.NewDuty(), fingerprint: fingerprint,
 		heads: make(map[string]versionedHead), jobs: make(map[string]*job), claimed: make(map[string]bool), unfenced: make(map[string]bool), snapshots: make(map[string]*snapshot),
-		changed: make(chan struct{}), peers: noPeers{}, placements: make(map[string]placement), assigned: make(map[string]time.Time), unchanged: make(map[string]headAge), owners: make(map[string]announcedOwner), startedAt: clock.Now(), meanItemTime: initialItemTime, meanItemEvents: initialItemEvents,
+		changed: make(chan struct{}), peers: noPeers{}, placements: make(map[string]placement), assigned: make(map[string]time.Time), returned: make(map[string]time.Time), unchanged: make(map[string]headAge), owners: make(map[string]announcedOwner), startedAt: clock.Now(), meanItemTime: initialItemTime, meanItemEvents: initialItemEvents,
 	}
 	manager.ctx, manager.stop = context.WithCancel(context.Background())
 	for _, option := range options {
--- a/internal/gate/batch/ownership.go
+++ b/internal/gate/batch/ownership.go
@@ -8,6 +8,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/agatestage/agatestage"
+	"github.com/agatestage/agatestage/internal/state/member"
 )
 
 // outageNoticeTime is how long it may take until a gateway notices that the store is out:
@@ -39,6 +40,42 @@
 	return lease
 }
 
+// writeTakenOver writes the head by which this gateway takes a job over, on the condition
+// that the job's owner is no member: otherwise an owner that is back would answer for the
+// job until it learns of the take-over.
+func (manager *Manager) writeTakenOver(ctx context.Context, orphan versionedHead) (versionedHead, error) {
+	next := orphan.Head
+	next.Owner, next.Instance, next.Epoch = manager.name, manager.instance, next.Epoch+1
+	if orphan.Owner == "" || orphan.Owner == manager.name || manager.fleet.Replaced(orphan.Owner, orphan.Instance) {
+		return manager.jobStore.writeHead(ctx, orphan, next)
+	}
+	membership := agatestage.Condition{Key: member.Key(orphan.Owner)}
+	taken, err := manager.jobStore.writeHeadIf(ctx, []agatestage.Condition{membership}, orphan, next)
+	if !errors.Is(err, errConditionFailed) {
+		return taken, err
+	}
+	record, readErr := manager.jobStore.store.Get(ctx, membership.Key)
+	if readErr != nil {
+		return orphan, errors.Wrap(readErr, "read membership record")
+	}
+	if owner, ok := member.Decode(record); ok && (owner.Instance == "" || owner.Instance == orphan.Instance) {
+		manager.mutex.Lock()
+		manager.returned[orphan.Owner] = manager.clock.Now()
+		manager.mutex.Unlock()
+		return orphan, errors.Errorf("its owner %s is back", orphan.Owner)
+	}
+	// The record is one of another process of the owner or of another writer.
+	membership.Version = record.Version
+	return manager.jobStore.writeHeadIf(ctx, []agatestage.Condition{membership}, orphan, next)
+}
+
+// hasReturned reports whether a gateway is to keep its jobs for now, because the store has
+// just shown that it is a member; the mutex must be held.
+func (manager *Manager) hasReturned(name string) bool {
+	at, known := manager.returned[name]
+	return known && manager.clock.Since(at) < assignPeriod
+}
+
 // cannotBeTakenOver reports whether no gateway can have taken over a job whose head the
 // store confirmed under a lease: because that lease holds, or because it held when the
 // store went out for all gateways.
--- a/internal/gate/batch/schedule_test.go
+++ b/internal/gate/batch/schedule_test.go
@@ -26,6 +26,8 @@
 	// have ended until others regard it as lost.
 	scheduleHold = 500 * time.Millisecond
 	scheduleLost = 200 * time.Millisecond
+	// scheduleUnseen is for how long a host that is back is still gone for the others.
+	scheduleUnseen = 400 * time.Millisecond
 	// settleTime is the time after which what was read must be read everywhere.
 	settleTime = time.Second
 )
--- a/internal/gate/batch/scheduled_host_test.go
+++ b/internal/gate/batch/scheduled_host_test.go
@@ -2,15 +2,19 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"time"
 
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
 	"github.com/pkg/errors"
 
 	"github.com/agatestage/agatestage"
 	"github.com/agatestage/agatestage/internal/fake/store"
 	"github.com/agatestage/agatestage/internal/gate/batch"
 	"github.com/agatestage/agatestage/internal/gate/feeds"
+	"github.com/agatestage/agatestage/internal/state/member"
 )
 
 // trouble is what a host of a random schedule suffers.
@@ -40,10 +44,14 @@
 	sound   chan struct{}
 	// follows says that the host follows the heads.
 	follows bool
-	lease   int
+	lease   agatestage.Lease
 	until   time.Time
-	// acquired is the store's revision at which the lease was acquired.
+	// acquired is the store's revision at which the lease was acquired, joined the process
+	// that acquired it.
 	acquired uint64
+	joined   string
+	// unseenUntil is until when a host that is back is still gone for the others.
+	unseenUntil time.Time
 }
 
 func (host *scheduledHost) state() (trouble, <-chan struct{}) {
@@ -126,12 +134,29 @@
 	defer host.schedule.mutex.Unlock()
 	for _, other := range host.hosts {
 		if other.gateway.Name == name {
-			return other.gateway.Instance != instance || (!other.linked() && time.Since(other.until) > scheduleLost)
+			return other.gateway.Instance != instance || (other != host && (other.isLost() || time.Now().Before(other.unseenUntil)))
 		}
 	}
 	return true
 }
 
+// isLost reports whether the host's lease has ended for others; the mutex must be held.
+func (host *scheduledHost) isLost() bool {
+	return !host.linked() && time.Since(host.until) > scheduleLost
+}
+
+// Replaced implements batch.Fleet.
+func (host *scheduledHost) Replaced(name, instance string) bool {
+	host.schedule.mutex.Lock()
+	defer host.schedule.mutex.Unlock()
+	for _, other := range host.hosts {
+		if other.gateway.Name == name {
+			return other.gateway.Instance != instance
+		}
+	}
+	return false
+}
+
 // StoreOutage implements batch.Fleet.
 func (host *scheduledHost) StoreOutage() time.Duration {
 	if trouble, _ := host.state(); trouble == cut || trouble == refused {
@@ -144,7 +169,7 @@
 func (host *scheduledHost) Hold() (lease agatestage.Lease, acquired uint64, until time.Time) {
 	host.schedule.mutex.Lock()
 	defer host.schedule.mutex.Unlock()
-	return agatestage.Lease(fmt.Sprint(host.lease)), host.acquired, host.until
+	return host.lease, host.acquired, host.until
 }
 
 // Watching implements batch.Fleet.
@@ -212,7 +237,10 @@
 		close(host.sound)
 		host.sound = make(chan struct{})
 	}
-	host.trouble = trouble
+	wasLost := host.isLost()
+	if host.trouble = trouble; wasLost && host.linked() {
+		host.unseenUntil = time.Now().Add(scheduleUnseen)
+	}
 	host.renew()
 }
 
@@ -220,11 +248,24 @@
 func (host *scheduledHost) renew() {
 	now := time.Now()
 	if host.linked() && host.trouble != refused {
-		if now.After(host.until) {
-			host.lease++
-			_, host.acquired, _ = host.Store.List(context.Background(), "hosts/")
+		if now.After(host.until) || host.joined != host.gateway.Instance || host.Store.Renew(context.Background(), host.lease) != nil {
+			host.join()
 		}
 		host.until = now.Add(scheduleHold)
 		host.health.RecordRenewal(nil)
 	}
 }
+
+// join acquires a lease and writes the membership record; the mutex must be held.
+func (host *scheduledHost) join() {
+	ginkgo.GinkgoHelper()
+	var err error
+	host.lease, err = host.Store.Grant(context.Background(), scheduleHold+scheduleLost)
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	var data []byte
+	data, err = json.Marshal(member.Member{Name: host.gateway.Name, Instance: host.gateway.Instance, Lease: host.lease})
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	host.acquired, err = host.Store.Commit(context.Background(), nil, []agatestage.Write{{Key: member.Key(host.gateway.Name), Value: data, Lease: host.lease}})
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	host.joined = host.gateway.Instance
+}
--- a/internal/gate/batch/takeover.go
+++ b/internal/gate/batch/takeover.go
@@ -96,6 +96,11 @@
 			delete(manager.assigned, id)
 		}
 	}
+	for name, at := range manager.returned {
+		if now.Sub(at) > cleanupPeriod {
+			delete(manager.returned, name)
+		}
+	}
 	for id := range manager.unfenced {
 		if head, known := manager.heads[id]; !known || !head.Open() {
 			delete(manager.unfenced, id)
@@ -152,7 +157,7 @@
 	if head.Owner == manager.name && head.Instance == manager.instance {
 		return manager.name, false
 	}
-	if head.Owner != "" && !manager.fleet.Gone(head.Owner, head.Instance) {
+	if head.Owner != "" && (!manager.fleet.Gone(head.Owner, head.Instance) || manager.hasReturned(head.Owner)) {
 		return "", false
 	}
 	if head.Owner == manager.name {
@@ -197,9 +202,7 @@
 			taken, err = manager.jobStore.writeHead(ctx, taken, next)
 		}
 	} else {
-		next := orphan.Head
-		next.Owner, next.Instance, next.Epoch = manager.name, manager.instance, next.Epoch+1
-		taken, err = manager.jobStore.writeHead(ctx, orphan, next)
+		taken, err = manager.writeTakenOver(ctx, orphan)
 	}
 	if errors.Is(err, errHeadChanged) {
 		manager.reloadHead(ctx, orphan.ID)
--- a/internal/gate/gossip/liveness.go
+++ b/internal/gate/gossip/liveness.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -148,6 +149,15 @@
 	return !listed && watching && silent > takeOverAfter
 }
 
+// Replaced reports whether another process of a gateway has been heard after the given one,
+// so that this one has certainly ended.
+func (mesh *Mesh) Replaced(name, instance string) bool {
+	mesh.mutex.Lock()
+	defer mesh.mutex.Unlock()
+	peer := mesh.peers[name]
+	return peer != nil && slices.Contains(peer.ended, instance)
+}
+
 // Address returns the address at which a gateway listens for other gateways.
 func (mesh *Mesh) Address(name string) (address netip.AddrPort, ok bool) {
 	mesh.mutex.Lock()
--- a/internal/gate/start/clusterview.go
+++ b/internal/gate/start/clusterview.go
@@ -223,6 +223,11 @@
 	return clusterView.mesh.Gone(name, instance)
 }
 
+// Replaced implements batch.Fleet.
+func (clusterView *clusterView) Replaced(name, instance string) bool {
+	return clusterView.mesh.Replaced(name, instance)
+}
+
 // prober dials targets that couldn't be reached until a dial succeeds or the target is
 // no longer listed at that address.
 type prober struct {
--- a/internal/gate/start/wire.go
+++ b/internal/gate/start/wire.go
@@ -78,8 +78,8 @@
 	return link.New(settings.Listen.Peer, bundle, link.WithClock(clock), link.WithPacketKey(bundle.PacketKey()))
 }
 
-func newRoster(settings setup.Settings, store agatestage.Transactor, clock agatestage.Clock, node *link.Node, storeHealth *feeds.StoreHealth, duty *feeds.Duty) *member.Roster {
-	self := member.Member{Name: settings.Name, Region: settings.Region, Zone: settings.Zone, Address: node.Address()}
+func newRoster(settings setup.Settings, instance instance, store agatestage.Transactor, clock agatestage.Clock, node *link.Node, storeHealth *feeds.StoreHealth, duty *feeds.Duty) *member.Roster {
+	self := member.Member{Name: settings.Name, Region: settings.Region, Zone: settings.Zone, Address: node.Address(), Instance: string(instance)}
 	// A gateway that follows the store knows from its polls whether the store answers.
 	onRenewal := func(err error) {
 		if !duty.On() {
--- a/internal/state/member/roster.go
+++ b/internal/state/member/roster.go
@@ -44,6 +44,18 @@
 	Ledger bool
 	// Lease is the lease that the record is attached to.
 	Lease agatestage.Lease
+	// Instance identifies the entry's process, if it isn't empty.
+	Instance string `json:",omitempty"`
+}
+
+// Key returns the key of an entry's record.
+func Key(name string) string { return prefix + name }
+
+// Decode decodes the record of an entry. Ok is false if it is one of another writer, which
+// may lack the name or have that of another entry.
+func Decode(record agatestage.Record) (member Member, ok bool) {
+	err := json.Unmarshal(record.Value, &member)
+	return member, err == nil && member.Name != "" && record.Key == Key(member.Name)
 }
 
 // Roster holds an entry's own lease and its view of the membership list.
@@ -173,7 +185,7 @@
 // HoldsLease reads from the store whether an entry's record is attached to the
 // lease.
 func (roster *Roster) HoldsLease(ctx context.Context, name string, lease agatestage.Lease) (bool, error) {
-	record, err := roster.store.Get(ctx, prefix+name)
+	record, err := roster.store.Get(ctx, Key(name))
 	if errors.Is(err, agatestage.ErrNotFound) {
 		return false, nil
 	}
@@ -277,7 +289,7 @@
 	if data, err = json.Marshal(self); err != nil {
 		return errors.Wrap(err, "encode member")
 	}
-	key := prefix + roster.self.Name
+	key := Key(roster.self.Name)
 	var version uint64
 	if record, getErr := roster.store.Get(ctx, key); getErr == nil {
 		// A previous run of this entry left a record whose lease hasn't expired yet.
@@ -350,12 +362,9 @@
 		revision = max(revision, record.Version)
 		name := record.Key[len(prefix):]
 		delete(members, name)
-		var member Member
-		// A record of another writer may lack the name, or have that of another member.
-		if record.Deleted || json.Unmarshal(record.Value, &member) != nil || name == "" || member.Name != name {
-			continue
+		if member, ok := Decode(record); ok && !record.Deleted {
+			members[name] = member
 		}
-		members[name] = member
 	}
 	roster.setMembers(members, revision, complete || len(records) > 0)
 }
