base/inlet: a request that arrived while the process stood still is read after its time

What callers saw, on gateways and entries (both serve callers through base/inlet): a whole request that reached the socket while the process was stopped or without processor time for longer than the time for its header (or an entry's idle time) got a bare close: no answer, no refusal. A long body got the refusal of a slow one.

Cause: http.Server's and conn.beginRequest's read deadlines pass meanwhile; the poller then fails a read without looking at the socket, and net/http drops the connection without a word.

Ruled out: no deadlines of the poller but timers of our own (the same pause makes them late in the same way); reading on as long as anything is there (a caller that sends faster than it is read would then be bounded by MaxHeaderBytes only, not by its time, and net/http, which takes the part of a line that it has when a read fails for a whole line, would take the rest of it for another one); taking the end or a reset then, too (net/http's abortPendingRead sets a deadline in the past to stop its background read, and would cancel the connection's context).

Change: a read whose deadline has passed still returns what had arrived when that was found (FIONREAD, once for each deadline), without waiting. Nothing that arrives later is read. A byte that abortPendingRead's read gets this way is kept by net/http (connReader.hasByte).

--- a/internal/base/inlet/conn.go
+++ b/internal/base/inlet/conn.go
@@ -51,14 +51,21 @@
 	unfinished atomic.Bool
 	// ended is true if the caller has closed or reset the connection.
 	ended bool
+	// overdue is how much may be read after the read deadline has passed, or noneFound.
+	overdue atomic.Int64
 }
 
 // Read implements net.Conn.
 func (conn *conn) Read(data []byte) (n int, err error) {
 	rawErr := conn.raw.Read(func(fd uintptr) (done bool) {
-		n, err, done = conn.take(int(fd), data)
+		n, err, done = conn.take(int(fd), data, len(data))
 		return done
 	})
+	if errors.Is(rawErr, os.ErrDeadlineExceeded) {
+		if n = conn.takeOverdue(data); n > 0 {
+			return n, nil
+		}
+	}
 	if err == io.EOF {
 		return 0, io.EOF
 	}
@@ -71,8 +78,9 @@
 	return n, nil
 }
 
-// take reads what has arrived. It isn't done if there is nothing yet and more may come.
-func (conn *conn) take(fd int, data []byte) (n int, err error, done bool) {
+// take reads what has arrived, up to a limit. It isn't done if there is nothing yet and more
+// may come.
+func (conn *conn) take(fd int, data []byte, limit int) (n int, err error, done bool) {
 	conn.mutex.Lock()
 	defer conn.mutex.Unlock()
 	if conn.phase == closed {
@@ -81,7 +89,7 @@
 	if conn.phase == fresh {
 		conn.buffer = len(data)
 	}
-	n, err = ignoringEINTR(func() (int, error) { return syscall.Read(fd, data) })
+	n, err = ignoringEINTR(func() (int, error) { return syscall.Read(fd, data[:limit]) })
 	switch {
 	case errors.Is(err, syscall.EAGAIN):
 		switch {
--- a/internal/base/inlet/inlet_test.go
+++ b/internal/base/inlet/inlet_test.go
@@ -52,19 +52,23 @@
 	cancelled chan struct{}
 }
 
-func newFixture(clock agatestage.Clock) *fixture {
+func newFixture(clock agatestage.Clock, changes ...func(server *http.Server)) *fixture {
 	listener, err := net.ListenTCP("tcp4", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
 	gomega.Expect(err).NotTo(gomega.HaveOccurred())
 	fixture := &fixture{goAhead: make(chan struct{}), started: make(chan struct{}, 1), stopped: make(chan int, 1), accepted: make(chan string, maxConns), raw: make(chan net.Conn, maxConns), cancelled: make(chan struct{}, maxConns), served: make(chan struct{})}
 	fixture.clock, _ = clock.(*clocktest.FakeClock)
-	fixture.Server = inlet.New("callers", &http.Server{
+	server := &http.Server{
 		Handler: http.HandlerFunc(fixture.serve), ReadHeaderTimeout: headerTimeout,
 		ConnContext: func(ctx context.Context, conn net.Conn) context.Context {
 			fixture.raw <- conn
 			fixture.accepted <- conn.RemoteAddr().String()
 			return ctx
 		},
-	}, listener, clock)
+	}
+	for _, change := range changes {
+		change(server)
+	}
+	fixture.Server = inlet.New("callers", server, listener, clock)
 	fixture.SetIdleLimit(idleLimit)
 	go func() {
 		defer close(fixture.served)
@@ -87,6 +91,13 @@
 		fixture.started <- struct{}{}
 		<-request.Context().Done()
 		return
+	case "/late-body":
+		fixture.started <- struct{}{}
+		<-fixture.goAhead
+		_ = http.NewResponseController(writer).SetReadDeadline(time.Unix(1, 0))
+		if _, err := io.Copy(io.Discard, request.Body); err != nil {
+			panic(http.ErrAbortHandler)
+		}
 	case "/abort":
 		panic(http.ErrAbortHandler)
 	case "/panic":
@@ -130,16 +141,21 @@
 	reader *bufio.Reader
 }
 
-// dial connects and, if the connection is kept, gets a first answer on it.
-func (fixture *fixture) dial(kept bool) *caller {
+// connect returns a connection that the server may not have accepted yet.
+func (fixture *fixture) connect() *caller {
 	ginkgo.GinkgoHelper()
 	conn, err := net.Dial("tcp4", fixture.Addr().String())
 	gomega.Expect(err).NotTo(gomega.HaveOccurred())
 	gomega.Expect(conn.SetDeadline(time.Now().Add(10 * time.Second))).To(gomega.Succeed())
 	ginkgo.DeferCleanup(conn.Close)
-	// A stop resets connections that the server hasn't accepted yet.
-	gomega.Eventually(fixture.accepted, "5s").Should(gomega.Receive(gomega.Equal(conn.LocalAddr().String())))
-	caller := &caller{Conn: conn, reader: bufio.NewReader(conn)}
+	return &caller{Conn: conn, reader: bufio.NewReader(conn)}
+}
+
+// dial connects and, if the connection is kept, gets a first answer on it.
+func (fixture *fixture) dial(kept bool) *caller {
+	ginkgo.GinkgoHelper()
+	caller := fixture.connect()
+	gomega.Eventually(fixture.accepted, "5s").Should(gomega.Receive(gomega.Equal(caller.LocalAddr().String())))
 	if kept {
 		caller.send(request)
 		caller.expectAnswer(false)
