base/inlet: a request that no handler got is counted and logged when its connection is closed

What could be seen of a connection that this process, or net/http within it, closed with part or all of a request in it: nothing. No handler had run, so there was neither a line nor a count, on gateways and entries alike (both serve callers through base/inlet).

Change: two reasons of agatestage_unanswered_requests_total and of the line `request without a whole answer`: `header time` (no more of the header came in time) and `not served` (this process closed the connection). Not for callers that have left (an end or a reset in the socket), for connections on which nothing of a request has arrived, for what net/http refuses by itself (400, 431, 501), nor at the limit of a stop, which counts its connections itself. At most one line a second a server, with the count since the last one; the metric counts all.

Ruled out: net/http's ErrorLog (silent about these closes); a line for each (callers decide how many there are).

--- a/internal/base/inlet/conn.go
+++ b/internal/base/inlet/conn.go
@@ -51,6 +51,11 @@
 	unfinished atomic.Bool
 	// ended is true if the caller has closed or reset the connection.
 	ended bool
+	// handled is true once a handler has got the request that is being read or answered, and
+	// timedOut once no more of it came in time.
+	handled, timedOut bool
+	// written is true once something was sent since the last whole answer.
+	written atomic.Bool
 	// overdue is how much may be read after the read deadline has passed, or noneFound.
 	overdue atomic.Int64
 }
@@ -65,6 +70,9 @@
 		if n = conn.takeOverdue(data); n > 0 {
 			return n, nil
 		}
+		conn.mutex.Lock()
+		conn.timedOut = true
+		conn.mutex.Unlock()
 	}
 	if err == io.EOF {
 		return 0, io.EOF
@@ -173,6 +181,9 @@
 
 // Close implements net.Conn. It resets a connection whose answer isn't finished.
 func (conn *conn) Close() error {
+	if why := conn.markClosed(); why != "" && !conn.server.cutOff.Load() {
+		conn.server.noteUnserved(conn, why)
+	}
 	if conn.unfinished.Load() {
 		_ = conn.SetLinger(0)
 	}
@@ -194,7 +205,8 @@
 	defer conn.mutex.Unlock()
 	switch {
 	case state == http.StateIdle && conn.phase == busy:
-		conn.phase = answered
+		conn.phase, conn.handled, conn.timedOut = answered, false, false
+		conn.written.Store(false)
 	case state == http.StateActive && conn.phase != closed:
 		conn.phase = busy
 	}
--- a/internal/base/inlet/exchange.go
+++ b/internal/base/inlet/exchange.go
@@ -19,6 +19,10 @@
 	whyClosed      = "closed"
 	whyBrokenOff   = "broken off"
 	whyHandlerFail = "handler failed"
+	// No handler got the request: no more of its header came in time, or this process
+	// closed the connection.
+	whyHeaderTime = "header time"
+	whyUnserved   = "not served"
 )
 
 // connKey is the context key of a request's *conn.
@@ -36,6 +40,7 @@
 
 // ServeHTTP implements http.Handler. It answers a request whose handler fails.
 func (server *Server) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	markHandled(request)
 	answer := &answer{ResponseWriter: writer, server: server}
 	ctx, cancel := answer.withGivenUp(request.Context())
 	defer cancel()
--- a/internal/base/inlet/inlet.go
+++ b/internal/base/inlet/inlet.go
@@ -53,6 +53,12 @@
 	// idleLimit is how long a connection may be idle; zero means without limit.
 	idleLimit time.Duration
 	conns     map[*conn]struct{}
+	// unservedAt is when a request that no handler got was logged last, and unlogged how many
+	// have come since.
+	unservedAt time.Time
+	unlogged   int
+	// cutOff is true once a stop has counted the connections that it cuts off.
+	cutOff atomic.Bool
 }
 
 // New returns a server that serves the listener once Serve runs. It takes over the
@@ -141,6 +147,7 @@
 		}
 		ticks.Wait(ctx, server.clock, stopCheckPeriod)
 	}
+	server.cutOff.Store(true)
 	if unanswered > 0 {
 		countUnanswered(whyDrainLimit, unanswered)
 		klog.InfoS("requests unanswered", "why", whyDrainLimit, "count", unanswered, "server", server.name)
--- a/internal/base/inlet/inlet_test.go
+++ b/internal/base/inlet/inlet_test.go
@@ -147,7 +147,7 @@
 	conn, err := net.Dial("tcp4", fixture.Addr().String())
 	gomega.Expect(err).NotTo(gomega.HaveOccurred())
 	gomega.Expect(conn.SetDeadline(time.Now().Add(10 * time.Second))).To(gomega.Succeed())
-	ginkgo.DeferCleanup(conn.Close)
+	ginkgo.DeferCleanup(func() { _ = conn.Close() })
 	return &caller{Conn: conn, reader: bufio.NewReader(conn)}
 }
 
