--- a/internal/base/inlet/write.go
+++ b/internal/base/inlet/write.go
@@ -22,6 +22,7 @@
 // Write implements net.Conn. It fails if the caller doesn't read: its handler would
 // otherwise hold its target's slot for as long as the connection lives.
 func (conn *conn) Write(data []byte) (n int, err error) {
+	conn.written.Store(true)
 	for {
 		// An error means that the connection is closed, which the write reports, too.
 		_ = conn.SetWriteDeadline(time.Now().Add(conn.server.writeTimeout))
