base/inlet: an answer whose last part isn't sent never looks complete

What callers saw: before HTTP/1.1, an answer of unknown length ends with its connection. http.Server writes its last few KB after the handler has returned.

Cause: the answer counts as finished when its handler returns (beginAnswer), before its last part has been written.

Change: a connection is also reset if it is closed during a write or after one that failed.

Ruled out: counting the answer as finished only once the connection is idle or closed (http.Server says neither before it closes it).

--- a/internal/base/inlet/conn.go
+++ b/internal/base/inlet/conn.go
@@ -49,6 +49,8 @@
 	since time.Time
 	// unfinished is true while an answer is written whose end is the connection's end.
 	unfinished atomic.Bool
+	// unsent is true during a write and after one that failed. Its handler may have returned.
+	unsent atomic.Bool
 	// ended is true if the caller has closed or reset the connection.
 	ended bool
 	// handled is true once a handler has got the request that is being read or answered, and
@@ -185,7 +187,7 @@
 	if why := conn.markClosed(); why != "" && !conn.server.cutOff.Load() {
 		conn.server.noteUnserved(conn, why)
 	}
-	if conn.unfinished.Load() {
+	if conn.unfinished.Load() || conn.unsent.Load() {
 		_ = conn.SetLinger(0)
 	}
 	conn.server.mutex.Lock()
--- a/internal/base/inlet/write.go
+++ b/internal/base/inlet/write.go
@@ -33,6 +33,7 @@
 // free.
 func (conn *conn) Write(data []byte) (n int, err error) {
 	conn.written.Store(true)
+	conn.unsent.Store(true)
 	before, stalled := math.MaxInt, 0
 	for {
 		// An error means that the connection is closed, which the write reports, too.
@@ -40,6 +41,7 @@
 		var written int
 		written, err = conn.TCPConn.Write(data[n:min(len(data), n+writeChunk)])
 		if n += written; n == len(data) {
+			conn.unsent.Store(false)
 			return n, err
 		}
 		if err == nil {
