entry/front: the write deadline of a part is left to base/inlet

Each write of inlet's connections sets its own deadline since, so that the 30 s of the sink had no effect. All entries serve callers through inlet (entry/start). No behaviour changes; covered by the specs of inlet's writes.

--- a/internal/entry/front/sink.go
+++ b/internal/entry/front/sink.go
@@ -7,9 +7,6 @@
 	"github.com/agatestage/agatestage"
 )
 
-// writeTimeout bounds the write of one part of an answer to the caller.
-const writeTimeout = 30 * time.Second
-
 // sink writes an answer to a caller and flushes each part.
 type sink struct {
 	writer     http.ResponseWriter
@@ -44,8 +41,6 @@
 	if sink.firstByteAt.IsZero() {
 		sink.firstByteAt = sink.clock.Now()
 	}
-	// Writers in tests may not support deadlines; writes then have none.
-	_ = sink.controller.SetWriteDeadline(time.Now().Add(writeTimeout))
 	if _, err := sink.writer.Write(data); err != nil {
 		return err
 	}
