gate/gossip: a late report of an ended process doesn't end the one that runs

What callers saw: nothing yet; found by reading, which lets a job be taken over without a condition if its owner's process has been replaced.

Cause: of two processes of a gateway, the one heard last counts as the later one. A gateway that has started since the first one ended doesn't know that one, so that its late report (sent on by a gateway that stood still) ended the process that runs: its reports were dropped from then on, it was replaced and gone for this gateway, and its jobs were taken over while it ran them.

Without the store, or a record with an instance, all is as before.

Ruled out: an order of processes in the reports (their encoding is an array, so that gateways of two builds wouldn't hear one another); no unconditional take-over (a spec holds that a job is taken over from a process whose successor was heard).

--- a/internal/gate/gossip/receive.go
+++ b/internal/gate/gossip/receive.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"k8s.io/klog/v2"
 
@@ -60,7 +61,9 @@
 	if state.Name == mesh.roster.Self().Name || state.Name == "" {
 		return false
 	}
-	version := mesh.source.Version()
+	version, listed := mesh.source.Version(), mesh.roster.Members()[state.Name].Instance
+	// If both hear the store, it tells of a new process soon.
+	maybeLate := listed != "" && listed != state.Instance && state.Hears && mesh.source.StoreOutage() == 0
 	mesh.mutex.Lock()
 	known := mesh.peers[state.Name]
 	if known == nil {
@@ -69,7 +72,7 @@
 		mesh.peers[state.Name] = known
 		mesh.peersChanged = true
 	}
-	if !known.accepts(received) {
+	if maybeLate && known.lastHeardIs(listed, mesh.clock.Now()) || !known.accepts(received) {
 		mesh.mutex.Unlock()
 		return false
 	}
@@ -97,6 +100,11 @@
 	return true
 }
 
+// lastHeardIs reports whether a process was the last to be heard, and lately.
+func (peer *peer) lastHeardIs(instance string, now time.Time) bool {
+	return peer.state.Instance == instance && now.Sub(peer.lastHeard) < aliveTimeout
+}
+
 // accepts reports whether a report is newer than all before it. Reports may arrive twice
 // or late, also those of a process that has ended.
 func (peer *peer) accepts(received report) bool {
