base/inlet: a caller that reads slowly isn't cut off within its answer

The limit was to be 64 KB in 10 s. In fact the kernel wakes a writer whose buffer is full only when a third of it is free (up to 4 MB), so that a caller that read 8 times as much was cut off.

Cause: the exceeded deadline of a write was taken for a caller that doesn't read. It says only that the kernel took nothing more, or that this process stood still between the call that sets the deadline and the write.

Change: when the deadline has passed, the answer goes on if part of the data was taken, or if less is unacknowledged than before, or nothing (SIOCOUTQ). A caller that reads nothing is cut off as before.

Ruled out: a longer limit (holds a target's slot for longer and only moves the rate); a small fixed send buffer (bounds the throughput between regions).

--- a/internal/base/inlet/write.go
+++ b/internal/base/inlet/write.go
@@ -1,20 +1,26 @@
 package inlet
 
-import "time"
+import (
+	"math"
+	"os"
+	"time"
+
+	"github.com/pkg/errors"
+	"golang.org/x/sys/unix"
+)
 
 const (
-	// defaultWriteTimeout bounds how long a caller may take to read writeChunk bytes. Callers
-	// give a stream up after a gap of some seconds.
+	// defaultWriteTimeout bounds how long a caller may read nothing of what waits for it.
+	// Callers give a stream up after a gap of some seconds.
 	defaultWriteTimeout = 10 * time.Second
-	// writeChunk is how much of an answer is written at a time, so that a slow caller that
-	// reads on isn't cut off within a large one.
+	// writeChunk is how much of an answer is written at a time.
 	writeChunk = 64 << 10
 )
 
 // Option configures a Server.
 type Option func(*Server)
 
-// WithWriteTimeout sets how long a caller may take to read a part of an answer.
+// WithWriteTimeout sets how long a caller may read nothing of what waits for it.
 func WithWriteTimeout(timeout time.Duration) Option {
 	return func(server *Server) { server.writeTimeout = timeout }
 }
@@ -24,12 +30,34 @@
 func (conn *conn) Write(data []byte) (n int, err error) {
 	conn.written.Store(true)
 	for {
+		before := conn.unread()
 		// An error means that the connection is closed, which the write reports, too.
 		_ = conn.SetWriteDeadline(time.Now().Add(conn.server.writeTimeout))
 		var written int
 		written, err = conn.TCPConn.Write(data[n:min(len(data), n+writeChunk)])
-		if n += written; err != nil || n == len(data) {
+		if n += written; n == len(data) {
+			return n, err
+		}
+		// The kernel takes no more until a third of its buffer is free, and this process may
+		// have stood still, so that an exceeded deadline alone says nothing about the caller.
+		if err != nil && !(errors.Is(err, os.ErrDeadlineExceeded) && (written > 0 || conn.reads(before))) {
 			return n, err
 		}
 	}
 }
+
+// unread returns how much of what was written has not been acknowledged by the caller's host.
+func (conn *conn) unread() (size int) {
+	if err := conn.raw.Control(func(fd uintptr) {
+		size, _ = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ)
+	}); err != nil {
+		return math.MaxInt
+	}
+	return size
+}
+
+// reads reports whether less is unread than before, or nothing.
+func (conn *conn) reads(before int) bool {
+	unread := conn.unread()
+	return unread == 0 || unread < before
+}
--- a/internal/base/inlet/write_test.go
+++ b/internal/base/inlet/write_test.go
@@ -81,4 +81,22 @@
 		gomega.Expect(err).NotTo(gomega.HaveOccurred())
 		gomega.Eventually(written, "30s").Should(gomega.Receive(gomega.BeNil()))
 	})
+
+	ginkgo.It("isn't cut off while the caller reads less at a time than the kernel's buffer needs", func() {
+		address, written := newWriter(largeAnswer)
+		conn := askLarge(address)
+		// A full receive buffer is announced as free again only once a part of it is.
+		gomega.Expect(conn.(*net.TCPConn).SetReadBuffer(256 << 10)).To(gomega.Succeed())
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		const partsATimeout = 4
+		for range 3 * partsATimeout {
+			_, err = io.CopyN(io.Discard, response.Body, 128<<10)
+			gomega.Expect(err).NotTo(gomega.HaveOccurred())
+			time.Sleep(shortWriteTimeout / partsATimeout)
+		}
+		_, err = io.Copy(io.Discard, response.Body)
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		gomega.Eventually(written, "30s").Should(gomega.Receive(gomega.BeNil()))
+	})
 })
