base/inlet: what a caller has not read is looked at only once a write's time has passed

Cause: asks the kernel before each write how much is unacknowledged, a system call for each event of each stream.

Ruled out: keeping the answer of the write before, which is as dear.

Change: the first deadline that passes without a byte taken is the base; the write fails at the next one if nothing was read in between. A caller that reads nothing is cut off after 20 s instead of 10 s.

--- a/internal/base/inlet/write.go
+++ b/internal/base/inlet/write.go
@@ -29,18 +29,23 @@
 // otherwise hold its target's slot for as long as the connection lives.
 func (conn *conn) Write(data []byte) (n int, err error) {
 	conn.written.Store(true)
+	unread := math.MaxInt
 	for {
-		before := conn.unread()
 		// An error means that the connection is closed, which the write reports, too.
 		_ = conn.SetWriteDeadline(time.Now().Add(conn.server.writeTimeout))
 		var written int
 		written, err = conn.TCPConn.Write(data[n:min(len(data), n+writeChunk)])
-		if n += written; n == len(data) {
+		switch n += written; {
+		case n == len(data), err != nil && !errors.Is(err, os.ErrDeadlineExceeded):
 			return n, err
+		case written > 0:
+			unread = math.MaxInt
+			continue
 		}
 		// The kernel takes no more until a third of its buffer is free, and this process may
-		// have stood still, so that an exceeded deadline alone says nothing about the caller.
-		if err != nil && !(errors.Is(err, os.ErrDeadlineExceeded) && (written > 0 || conn.reads(before))) {
+		// have stood still, so that one exceeded deadline says nothing about the caller.
+		before := unread
+		if unread = conn.unread(); unread > 0 && unread >= before {
 			return n, err
 		}
 	}
@@ -55,9 +60,3 @@
 	}
 	return size
 }
-
-// reads reports whether less is unread than before, or nothing.
-func (conn *conn) reads(before int) bool {
-	unread := conn.unread()
-	return unread == 0 || unread < before
-}
