base/inlet: a stop accepts the connections that wait for it before it closes its listener

What callers saw, on gateways and entries (both serve callers through base/inlet): the process was busy or stood still for a moment, SIGTERM came, and their connections, with whole requests on them, were reset by the kernel: neither an answer nor a refusal, though the requests hadn't run.

Cause: Stop closed the listener at once, and Linux resets what is in its queue.

Change: Stop closes the listener once the queue is empty or as many connections were accepted as waited when it began (one more, as Serve may hold one of before), if no Serve runs, and at the latest when requests without an answer are given up. It then waits until Serve has returned, so that a connection which Serve has just accepted isn't taken for none. The requests are answered or refused as any others in a stop.

--- a/internal/base/inlet/inlet.go
+++ b/internal/base/inlet/inlet.go
@@ -44,6 +44,8 @@
 	listener *net.TCPListener
 	clock    agatestage.Clock
 	stopping atomic.Bool
+	// serving is the number of running calls of Serve, accepted that of connections so far.
+	serving, accepted atomic.Int64
 	// ends is when the requests without an answer are given up in a stop, and givenUp ends
 	// then.
 	ends    atomic.Pointer[time.Time]
@@ -75,6 +77,8 @@
 
 // Serve accepts connections until Stop.
 func (server *Server) Serve(context.Context) error {
+	server.serving.Add(1)
+	defer server.serving.Add(-1)
 	if err := server.http.Serve(server); !server.stopping.Load() {
 		return err
 	}
@@ -95,6 +99,7 @@
 	server.mutex.Lock()
 	defer server.mutex.Unlock()
 	server.conns[conn] = struct{}{}
+	server.accepted.Add(1)
 	return conn, nil
 }
 
@@ -124,8 +129,8 @@
 	}
 }
 
-// Stop accepts no more connections, closes the idle ones, and each other one after its
-// next answer. Shortly before ctx ends, it cancels the requests whose answers haven't
+// Stop accepts the connections that wait for it and no more, closes the idle ones, and each
+// other one after its next answer. Shortly before ctx ends, it cancels the requests whose answers haven't
 // begun. It closes the connections that are left when ctx ends and returns their number.
 func (server *Server) Stop(ctx context.Context) (unanswered int) {
 	ends, limited := ctx.Deadline()
@@ -133,8 +138,12 @@
 		server.ends.Store(&ends)
 	}
 	server.stopping.Store(true)
-	_ = server.listener.Close()
+	listening, last := true, server.accepted.Load()+server.queued()
 	for {
+		if listening && (limited && !server.clock.Now().Before(ends) || !server.accepting(last)) {
+			listening = false
+			_ = server.listener.Close()
+		}
 		for _, conn := range server.open() {
 			conn.closeIdle(0, firstRequestTime)
 		}
@@ -142,11 +151,14 @@
 			limited = false
 			server.giveUp()
 		}
-		if unanswered = len(server.open()); unanswered == 0 || ctx.Err() != nil {
+		// A connection that has just been accepted is open once Serve has returned.
+		accepting := listening || server.serving.Load() > 0
+		if unanswered = len(server.open()); unanswered == 0 && !accepting || ctx.Err() != nil {
 			break
 		}
 		ticks.Wait(ctx, server.clock, stopCheckPeriod)
 	}
+	_ = server.listener.Close()
 	server.cutOff.Store(true)
 	if unanswered > 0 {
 		countUnanswered(whyDrainLimit, unanswered)
