platform, base/inlet, gate/batch: a caller's half-close doesn't cut off a job's writes

What callers saw: a caller that ends its sending side behind a submission or an end, or while it is written, got 502, whether the store executed the write or refused it: the write was cancelled with the caller's bytes and its outcome couldn't be read back. A job that was written wasn't started here until a poll or an audit found it. Reads of results and bodies from the store were cancelled as well (503).

Cause: the handlers of jobs pass request.Context() on to the store.

Ruled out: refusing such a submission at once as online requests are (503): a caller that still listens would have to send it again, and one that has gone sends it elsewhere, where it gets 202 as the same job. Running on without any end: a stop has to give requests up in time.

A page that waits for results still stops waiting when the caller's bytes end, and is read once more then. A job that another gateway forwards is written also if that one's request ends.

--- a/internal/base/inlet/left.go
+++ b/internal/base/inlet/left.go
@@ -15,6 +15,17 @@
 	return ctx.Err() != nil && !GivenUp(ctx) || ok && conn.checkEnd()
 }
 
+// WithoutCaller returns a context that ends only when the server gives the request up, and
+// not when its caller closes the connection or its sending side. Ctx is that of the request.
+func WithoutCaller(ctx context.Context) (context.Context, context.CancelFunc) {
+	outliving, cancel := context.WithCancelCause(context.WithoutCancel(ctx))
+	stop := func() bool { return false }
+	if conn, ok := ctx.Value(connKey{}).(*conn); ok {
+		stop = context.AfterFunc(conn.server.givenUp, func() { cancel(errGivenUp) })
+	}
+	return outliving, func() { stop(); cancel(nil) }
+}
+
 // checkEnd reports whether the caller has closed or reset the connection and everything it
 // sent before has been read.
 func (conn *conn) checkEnd() bool {
--- a/internal/gate/batch/batch_test.go
+++ b/internal/gate/batch/batch_test.go
@@ -36,7 +36,7 @@
 
 // results reads all stored results of a job.
 func results(manager *batch.Manager, id string) batch.Page {
-	page, err := manager.Results(context.Background(), organisation, id, 0, 0)
+	page, err := manager.Results(context.Background(), organisation, id, 0, 0, nil)
 	gomega.ExpectWithOffset(1, err).NotTo(gomega.HaveOccurred())
 	return page
 }
@@ -222,7 +222,7 @@
 		fixture.fakeFleet.setAlive(first)
 		owner, _ := fixture.start(first)
 		gomega.Expect(owner.Submit(context.Background(), fixture.spec("job", 1))).To(gomega.Succeed())
-		_, err := owner.Results(context.Background(), "another", "job", 0, 0)
+		_, err := owner.Results(context.Background(), "another", "job", 0, 0, nil)
 		expectRefused(err, agatestage.CodeNotFound, agatestage.RanNo)
 		_, err = owner.Body(context.Background(), organisation, "none", "job-0")
 		expectRefused(err, agatestage.CodeNotFound, agatestage.RanNo)
@@ -238,7 +238,7 @@
 		fixture.store.SetFaults(store.Faults{Outage: true})
 		expectRefused(owner.Submit(context.Background(), fixture.spec("job", 1)), agatestage.CodeStore, agatestage.RanUnknown)
 		gomega.Expect(results(owner, "known").Total).To(gomega.Equal(1))
-		_, err := owner.Results(context.Background(), organisation, "job", 0, 0)
+		_, err := owner.Results(context.Background(), organisation, "job", 0, 0, nil)
 		expectRefused(err, agatestage.CodeStore, agatestage.RanNo)
 		fixture.store.SetFaults(store.Faults{})
 		gomega.Expect(owner.Submit(context.Background(), fixture.spec("job", 1))).To(gomega.Succeed())
--- a/internal/gate/batch/forward.go
+++ b/internal/gate/batch/forward.go
@@ -64,10 +64,11 @@
 }
 
 // AcceptForwarded accepts a job for another gateway that can't reach the store, and
-// returns the record of the job's head. The error is a *agatestage.Refusal.
+// returns the record of the job's head, also if ctx, that of the other gateway's request,
+// ends meanwhile. The error is a *agatestage.Refusal.
 func (manager *Manager) AcceptForwarded(ctx context.Context, spec Spec) (agatestage.Record, error) {
 	spec.forwarded = true
-	if err := manager.Submit(ctx, spec); err != nil {
+	if err := manager.Submit(context.WithoutCancel(ctx), spec); err != nil {
 		return agatestage.Record{}, err
 	}
 	manager.mutex.Lock()
--- a/internal/gate/batch/reader_test.go
+++ b/internal/gate/batch/reader_test.go
@@ -98,7 +98,7 @@
 		read := func() <-chan batch.Page {
 			pages := make(chan batch.Page, 1)
 			go func() {
-				page, _ := reader.Results(context.Background(), organisation, spec.ID, 0, 0)
+				page, _ := reader.Results(context.Background(), organisation, spec.ID, 0, 0, nil)
 				pages <- page
 			}()
 			return pages
--- a/internal/gate/batch/results.go
+++ b/internal/gate/batch/results.go
@@ -89,8 +89,8 @@
 }
 
 // Results returns the results from an offset on. If there are none yet, it waits
-// for some, at most for the given time.
-func (manager *Manager) Results(ctx context.Context, organisation, id string, offset int, wait time.Duration) (Page, error) {
+// for some, at most for the given time and until left is closed.
+func (manager *Manager) Results(ctx context.Context, organisation, id string, offset int, wait time.Duration, left <-chan struct{}) (Page, error) {
 	deadline := manager.clock.Now().Add(wait)
 	for {
 		page, changed, err := manager.page(ctx, organisation, id, offset)
@@ -102,6 +102,8 @@
 		select {
 		case <-changed:
 		case <-timer.C():
+		case <-left:
+			deadline = manager.clock.Now()
 		case <-ctx.Done():
 		}
 		timer.Stop()
--- a/internal/gate/batch/schedule_test.go
+++ b/internal/gate/batch/schedule_test.go
@@ -53,7 +53,7 @@
 	schedule.mutex.Lock()
 	manager := host.manager
 	schedule.mutex.Unlock()
-	page, err = manager.Results(context.Background(), organisation, spec.ID, offset, 0)
+	page, err = manager.Results(context.Background(), organisation, spec.ID, offset, 0, nil)
 	schedule.mutex.Lock()
 	defer schedule.mutex.Unlock()
 	fail := func(format string, values ...any) {
--- a/internal/gate/batch/stale_test.go
+++ b/internal/gate/batch/stale_test.go
@@ -140,7 +140,7 @@
 		hearing.Hears = true
 		fleet.setAlive(first, hearing)
 		fleet.setOutage(time.Minute)
-		_, err := owner.Results(context.Background(), organisation, spec.ID, 0, 0)
+		_, err := owner.Results(context.Background(), organisation, spec.ID, 0, 0, nil)
 		expectRefused(err, agatestage.CodeStore, agatestage.RanNo)
 	})
 })
--- a/internal/gate/batch/takeover_test.go
+++ b/internal/gate/batch/takeover_test.go
@@ -287,11 +287,11 @@
 		other.ReceiveNotes(owner.Notes())
 		expectDone(owner, spec)
 		reads := fixture.store.Counts().Reads
-		page, err := other.Results(context.Background(), organisation, spec.ID, 0, 0)
+		page, err := other.Results(context.Background(), organisation, spec.ID, 0, 0, nil)
 		gomega.Expect(err).NotTo(gomega.HaveOccurred())
 		gomega.Expect(page.Results).To(gomega.HaveLen(2))
 		gomega.Expect(fixture.store.Counts().Reads).To(gomega.Equal(reads))
-		_, err = other.Results(context.Background(), "another organisation", spec.ID, 0, 0)
+		_, err = other.Results(context.Background(), "another organisation", spec.ID, 0, 0, nil)
 		gomega.Expect(err).To(gomega.HaveOccurred())
 	})
 })
