base/inlet: a test that work which outlives its caller is given up in a stop

inlet.WithoutCaller must end with the server's giving up, or a caller that has closed its sending side gets no answer in a planned stop.

--- a/internal/base/inlet/inlet_test.go
+++ b/internal/base/inlet/inlet_test.go
@@ -87,6 +87,13 @@
 		fixture.started <- struct{}{}
 		<-request.Context().Done()
 		return
+	case "/without-caller":
+		ctx, cancel := inlet.WithoutCaller(request.Context())
+		defer cancel()
+		fixture.started <- struct{}{}
+		<-request.Context().Done()
+		fixture.cancelled <- struct{}{}
+		<-ctx.Done()
 	case "/abort":
 		panic(http.ErrAbortHandler)
 	case "/panic":
