gate/batch: a job that moves lets the write of its results end

What callers saw: results that were on their way to the store when their job moved (or its gateway was stopped as planned) had an unknown outcome: the write was cancelled with the items. It was then found out by another write or by reading, or the job stayed, was fenced and read again.

Cause: the writes run under the context of the items, which a move ends at once.

Change: a write that was begun runs under the manager's context; none is begun once the items have ended, also after a wait for the store.

--- a/internal/gate/batch/fixture_test.go
+++ b/internal/gate/batch/fixture_test.go
@@ -32,6 +32,8 @@
 	// does so for every run after the first.
 	hold        chan struct{}
 	holdRepeats chan struct{}
+	// cancelled counts the runs that ended while they were blocked.
+	cancelled int
 	// eventsPerRun is how many events one run sends.
 	eventsPerRun int64
 }
@@ -66,6 +68,9 @@
 		select {
 		case <-hold:
 		case <-ctx.Done():
+			fakeRunner.mutex.Lock()
+			fakeRunner.cancelled++
+			fakeRunner.mutex.Unlock()
 			return relay.Result{Refusal: agatestage.Refuse(agatestage.CodeDeadline, "ended")}
 		}
 	}
@@ -86,6 +91,12 @@
 	return fakeRunner.runs[item]
 }
 
+func (fakeRunner *fakeRunner) cancelCount() int {
+	fakeRunner.mutex.Lock()
+	defer fakeRunner.mutex.Unlock()
+	return fakeRunner.cancelled
+}
+
 func (fakeRunner *fakeRunner) lastSlotTime(item string) time.Duration {
 	fakeRunner.mutex.Lock()
 	defer fakeRunner.mutex.Unlock()
--- a/internal/gate/batch/job.go
+++ b/internal/gate/batch/job.go
@@ -160,8 +160,11 @@
 			}
 		}
 		for job.hasUnwritten() && ctx.Err() == nil {
-			job.manager.storeHealth.AwaitRecovery(ctx)
-			if err := job.commit(ctx); errors.Is(err, errHeadChanged) {
+			if job.manager.storeHealth.AwaitRecovery(ctx); ctx.Err() != nil {
+				return
+			}
+			// A write that was begun ends also if the job moves: its outcome would be unknown.
+			if err := job.commit(job.manager.ctx); errors.Is(err, errHeadChanged) {
 				job.stop()
 				return
 			} else if err != nil {
