gate/batch: a job whose records can't be read is read every 10 s, not every 300 ms

What was seen: an open head without input, which another writer may leave, costs two priced reads every 300 ms for as long as it is there.

Cause: a job that was taken over but not read is taken over again by the next scan, whatever the reason.

Ruled out: giving it up for good, as nothing may be concluded from one odd answer; the same pause after failed calls, which would hold sound jobs up.

Change: missing and undecodable records are told from failed calls and pause the job for 10 s.

--- a/internal/gate/batch/jobstore.go
+++ b/internal/gate/batch/jobstore.go
@@ -26,6 +26,9 @@
 // on another record doesn't hold.
 var errConditionFailed = errors.Wrap(errHeadChanged, "a condition on another record does not hold")
 
+// errUnreadable means that records of a job are missing or can't be decoded.
+var errUnreadable = errors.New("the job's records can't be read")
+
 // jobStore reads and writes the records of jobs.
 type jobStore struct {
 	store agatestage.Transactor
@@ -96,30 +99,38 @@
 	for part := range head.Parts {
 		var record agatestage.Record
 		if record, err = jobStore.store.Get(ctx, inputKey(head.ID, part)); err != nil {
-			return nil, errors.Wrapf(err, "read part %d of job %s", part, head.ID)
+			return nil, errors.Wrapf(missing(err), "read part %d of job %s", part, head.ID)
 		}
 		var decoded []Item
 		if err = cbor.Unmarshal(record.Value, &decoded); err != nil {
-			return nil, errors.Wrap(err, "decode items")
+			return nil, errors.Wrapf(errUnreadable, "decode items: %v", err)
 		}
 		items = append(items, decoded...)
 	}
 	if len(items) != head.Items {
-		return nil, errors.Errorf("job %s has %d items and not %d", head.ID, len(items), head.Items)
+		return nil, errors.Wrapf(errUnreadable, "job %s has %d items and not %d", head.ID, len(items), head.Items)
 	}
 	return items, nil
 }
 
+// missing returns errUnreadable for the error of the read of a record that isn't there.
+func missing(err error) error {
+	if errors.Is(err, agatestage.ErrNotFound) {
+		return errUnreadable
+	}
+	return err
+}
+
 // results reads the results of a job from a chunk on.
 func (jobStore *jobStore) results(ctx context.Context, head Head, from int) (results []Result, err error) {
 	for chunk := from; chunk < head.Chunks; chunk++ {
 		var record agatestage.Record
 		if record, err = jobStore.store.Get(ctx, chunkKey(head.ID, chunk)); err != nil {
-			return nil, errors.Wrapf(err, "read chunk %d of job %s", chunk, head.ID)
+			return nil, errors.Wrapf(missing(err), "read chunk %d of job %s", chunk, head.ID)
 		}
 		var decoded []Result
 		if err = cbor.Unmarshal(record.Value, &decoded); err != nil {
-			return nil, errors.Wrap(err, "decode results")
+			return nil, errors.Wrapf(errUnreadable, "decode results: %v", err)
 		}
 		results = append(results, decoded...)
 	}
--- a/internal/gate/batch/manager.go
+++ b/internal/gate/batch/manager.go
@@ -98,6 +98,9 @@
 	// placements holds the items that were recently placed at each gateway and that
 	// its reported backlog may not include yet.
 	placements map[string]placement
+	// unreadable holds when the records of a job that is to run here were last found to be
+	// missing or undecodable.
+	unreadable map[string]time.Time
 	// returned holds when the store last showed that a gateway which seemed to be gone is
 	// a member.
 	returned map[string]time.Time
@@ -145,7 +148,7 @@
 		name: self.Name, instance: self.Instance, region: self.Region, clock: clock, jobStore: &jobStore{store: store, clock: clock},
 		runner: runner, rules: holder, fleet: fleet, storeHealth: feeds.NewStoreHealth(clock), duty: feeds.NewDuty(), fingerprint: fingerprint,
 		heads: make(map[string]versionedHead), jobs: make(map[string]*job), claimed: make(map[string]bool), unfenced: make(map[string]bool), snapshots: make(map[string]*snapshot),
-		changed: make(chan struct{}), peers: noPeers{}, placements: make(map[string]placement), assigned: make(map[string]time.Time), returned: make(map[string]time.Time), unchanged: make(map[string]headAge), owners: make(map[string]announcedOwner), startedAt: clock.Now(), meanItemTime: initialItemTime, meanItemEvents: initialItemEvents,
+		changed: make(chan struct{}), peers: noPeers{}, placements: make(map[string]placement), assigned: make(map[string]time.Time), returned: make(map[string]time.Time), unreadable: make(map[string]time.Time), unchanged: make(map[string]headAge), owners: make(map[string]announcedOwner), startedAt: clock.Now(), meanItemTime: initialItemTime, meanItemEvents: initialItemEvents,
 	}
 	manager.ctx, manager.stop = context.WithCancel(context.Background())
 	for _, option := range options {
--- a/internal/gate/batch/odd_test.go
+++ b/internal/gate/batch/odd_test.go
@@ -10,6 +10,7 @@
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
 	"k8s.io/klog/v2"
+	clocktest "k8s.io/utils/clock/testing"
 
 	"github.com/agatestage/agatestage"
 	"github.com/agatestage/agatestage/internal/gate/batch"
@@ -70,4 +71,30 @@
 			gomega.Expect(fixture.fakeRunner.runCount(fmt.Sprint("job-", i))).To(gomega.Equal(1))
 		}
 	})
+	ginkgo.It("that are open and have no input are not read again and again", func() {
+		fixture := newFixture()
+		fixture.fakeFleet.setAlive(first)
+		_, err := fixture.store.Swap(context.Background(), "batch/head/odd", 0, []byte(`{"ID":"odd","Items":1,"Parts":1,"State":"Open"}`), "")
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		clock := clocktest.NewFakeClock(time.Unix(1000, 0))
+		manager := batch.New(first, fixture.store, clock, fixture.fakeRunner, fixture.holder, fixture.fakeFleet, func(*agatestage.Call) uint64 { return 0 })
+		ctx, cancel := context.WithCancel(context.Background())
+		ginkgo.DeferCleanup(func() {
+			cancel()
+			manager.Close()
+		})
+		go func() { _ = manager.Serve(ctx) }()
+		// The list of the heads and the first read of the input.
+		step := func() int64 {
+			clock.Step(300 * time.Millisecond)
+			return fixture.store.Counts().Reads
+		}
+		gomega.Eventually(step, waitTimeout).Should(gomega.BeNumerically(">=", 2))
+		for range 20 {
+			step()
+			time.Sleep(10 * time.Millisecond)
+		}
+		gomega.Expect(fixture.store.Counts().Reads).To(gomega.BeNumerically("<=", 2))
+		gomega.Eventually(step, waitTimeout).Should(gomega.BeNumerically(">=", 4))
+	})
 })
--- a/internal/gate/batch/takeover.go
+++ b/internal/gate/batch/takeover.go
@@ -19,6 +19,8 @@
 	// is sent a take-over request, because the message that assigned the job may be lost.
 	// The owner of a running job writes its progress every few seconds.
 	auditAfter = 4 * time.Second
+	// unreadablePause is the pause before a job whose records can't be read is read again.
+	unreadablePause = 10 * time.Second
 )
 
 // headAge is the version of a head and since when it is known.
@@ -48,7 +50,7 @@
 		if job := manager.jobs[id]; job != nil && job.hasTerminated() {
 			manager.cacheFinishedLocked(id, job)
 		}
-		if !head.Open() || manager.jobs[id] != nil || manager.claimed[id] || manager.draining {
+		if !head.Open() || manager.jobs[id] != nil || manager.claimed[id] || manager.draining || manager.isUnreadable(id) {
 			continue
 		}
 		successor, orphaned := manager.successor(head, alive)
@@ -88,6 +90,13 @@
 	return elapsed
 }
 
+// isUnreadable reports whether a job's records have just been found to be missing or
+// undecodable; the mutex must be held.
+func (manager *Manager) isUnreadable(id string) bool {
+	at, known := manager.unreadable[id]
+	return known && manager.clock.Since(at) < unreadablePause
+}
+
 // forgetAssignments forgets what is known of jobs that have ended; the mutex must be
 // held.
 func (manager *Manager) forgetAssignments(now time.Time) {
@@ -106,6 +115,11 @@
 			delete(manager.unfenced, id)
 		}
 	}
+	for id := range manager.unreadable {
+		if head, known := manager.heads[id]; !known || !head.Open() {
+			delete(manager.unreadable, id)
+		}
+	}
 	for id := range manager.unchanged {
 		if head, known := manager.heads[id]; !known || !head.Open() {
 			delete(manager.unchanged, id)
@@ -232,8 +246,12 @@
 	if err != nil {
 		// The head names this process, so the next takeOverOrphans retries.
 		klog.InfoS("job taken over but not read", "job", head.ID, "error", err.Error())
+		if errors.Is(err, errUnreadable) {
+			manager.unreadable[head.ID] = manager.clock.Now()
+		}
 		return
 	}
+	delete(manager.unreadable, head.ID)
 	manager.noteOwner(head)
 	klog.InfoS("job taken over", "job", head.ID, "from", orphan.Owner, "epoch", head.Epoch, "results", head.Results, "items", head.Items, "begun", len(progress))
 	manager.startJobLocked(taken, lease, items, stored, progress)
@@ -305,7 +323,7 @@
 		klog.InfoS("job handed over to this gateway", "job", observed.ID, "epoch", observed.Epoch, "results", observed.Results, "items", observed.Items, "begun", len(handover.Progress))
 		manager.startJobLocked(observed, lease, handover.Items, handover.Results, handover.Progress)
 	}
-	takeOver := handover.TakeOver && newest && observed.Open() && job == nil && !manager.claimed[observed.ID] && !manager.draining
+	takeOver := handover.TakeOver && newest && observed.Open() && job == nil && !manager.claimed[observed.ID] && !manager.draining && !manager.isUnreadable(observed.ID)
 	if takeOver {
 		manager.claimed[observed.ID] = true
 	}
