gate/batch: a job accepted with or without a key isn't unknown beside other configurations

What callers saw: 404 for a job that is there, and 409 for its repeated submission, where one of submission and call came in without a key and the other with one: on a public route, or where one of two configurations has no organisations yet (a gateway that is behind) or any more.

Cause: a job is unknown to callers of another organisation, and none counted as one.

Ruled out: showing jobs of an organisation to callers without a key, as the configuration in force there may only be behind.

Change: a job that was accepted without a key is shown to all; a caller of whom this configuration needs no key is answered 503 (NotFresh) for a job of an organisation, as this gateway can't be sure; a repeated submission with the same items is the same job.

--- a/internal/gate/batch/access.go
+++ b/internal/gate/batch/access.go
@@ -69,10 +69,20 @@
 		}
 		manager.cacheHead(observed)
 	}
-	if observed.Organisation != organisation {
-		return observed, agatestage.Refuse(agatestage.CodeNotFound, "there is no job %s", id)
+	return observed, checkOrganisation(observed.Head, organisation)
+}
+
+// checkOrganisation returns a refusal if an organisation may not see a job. All may see a job
+// that was accepted without a key. A caller without an organisation isn't told that there is
+// no job: only the configuration in force here needs no key of it.
+func checkOrganisation(head Head, organisation string) error {
+	switch {
+	case head.Organisation == "" || head.Organisation == organisation:
+		return nil
+	case organisation == "":
+		return agatestage.Refuse(agatestage.CodeNotFresh, "the job is that of an organisation, and the configuration has none")
 	}
-	return observed, nil
+	return agatestage.Refuse(agatestage.CodeNotFound, "there is no job %s", head.ID)
 }
 
 // Body returns the request body of an item.
--- a/internal/gate/batch/submit.go
+++ b/internal/gate/batch/submit.go
@@ -149,7 +149,9 @@
 
 // checkSameJob returns a refusal if the head is that of another job with the same ID.
 func checkSameJob(head Head, spec Spec, digest string) error {
-	if head.Organisation != spec.Organisation || head.Digest != digest {
+	// The key of a caller may be needed by another configuration only.
+	sameOrganisation := head.Organisation == spec.Organisation || head.Organisation == "" || spec.Organisation == ""
+	if !sameOrganisation || head.Digest != digest {
 		return agatestage.Refuse(agatestage.CodeConflict, "another job has the ID %s", spec.ID)
 	}
 	return nil
