--- a/internal/base/inlet/write.go
+++ b/internal/base/inlet/write.go
@@ -15,6 +15,8 @@
 	defaultWriteTimeout = 10 * time.Second
 	// writeChunk is how much of an answer is written at a time.
 	writeChunk = 64 << 10
+	// writeChecks is how often within its time a caller is checked that holds a write up.
+	writeChecks = 4
 )
 
 // Option configures a Server.
@@ -26,32 +28,37 @@
 }
 
 // Write implements net.Conn. It fails if the caller doesn't read: its handler would
-// otherwise hold its target's slot for as long as the connection lives.
+// otherwise hold its target's slot for as long as the connection lives. A caller may read
+// on while the kernel takes nothing more, which it does only once a third of its buffer is
+// free.
 func (conn *conn) Write(data []byte) (n int, err error) {
 	conn.written.Store(true)
-	unread := math.MaxInt
+	conn.unsent.Store(true)
+	before, stalled := math.MaxInt, 0
 	for {
 		// An error means that the connection is closed, which the write reports, too.
-		_ = conn.SetWriteDeadline(time.Now().Add(conn.server.writeTimeout))
+		_ = conn.SetWriteDeadline(time.Now().Add(conn.server.writeTimeout / writeChecks))
 		var written int
 		written, err = conn.TCPConn.Write(data[n:min(len(data), n+writeChunk)])
-		switch n += written; {
-		case n == len(data), err != nil && !errors.Is(err, os.ErrDeadlineExceeded):
+		if n += written; n == len(data) {
+			conn.unsent.Store(false)
 			return n, err
-		case written > 0:
-			unread = math.MaxInt
+		}
+		if err == nil {
+			stalled = 0
 			continue
 		}
-		// The kernel takes no more until a third of its buffer is free, and this process may
-		// have stood still, so that one exceeded deadline says nothing about the caller.
-		before := unread
-		if unread = conn.unread(); unread > 0 && unread >= before {
+		unread := conn.unread()
+		if stalled++; written > 0 || unread < before {
+			stalled = 0
+		}
+		if before = unread; stalled == writeChecks || !errors.Is(err, os.ErrDeadlineExceeded) {
 			return n, err
 		}
 	}
 }
 
-// unread returns how much of what was written has not been acknowledged by the caller's host.
+// unread returns how much of what was written the caller's host hasn't acknowledged.
 func (conn *conn) unread() (size int) {
 	if err := conn.raw.Control(func(fd uintptr) {
 		size, _ = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ)
