base/inlet: requests behind the one that runs when a stop begins are answered

What callers saw, on gateways and entries (both serve callers through base/inlet): of requests sent one behind another on a connection, the one that ran when a stop began was answered with `Connection: close`, and those behind it, read or not, whole or in part, got nothing. They hadn't run.

Cause: each answer in a stop announced the close, whatever had arrived behind its request, and net/http closes the connection after such an answer.

Ruled out: announcing nothing in stops and closing idle connections (a caller's next request would cross the close); taking over the connection from net/http (the forwarding of answers goes through its writer); reading net/http's buffer, which no hook gives; a copy of it a connection (4 KB each).

Change: an answer doesn't announce the close while more than its own request has arrived. The connection counts what it hands to net/http, finds the end of the header in it, and adds the body's length; what is in the socket is asked for. If a request began within bytes that were read with the one before, what else is in net/http's buffer isn't known: its answer announces nothing, and the connection is closed once idle, as before (a request that has arrived by then is served). If the counts are wrong in either direction, nothing worse follows than one of these two ends. A caller that always has another request in the socket holds a stop up by what had arrived at first and one buffer. What comes behind an answer that has announced the close is counted `not served`.

--- a/internal/base/inlet/conn.go
+++ b/internal/base/inlet/conn.go
@@ -38,6 +38,7 @@
 	*net.TCPConn
 	raw    syscall.RawConn
 	server *Server
+	pipeline
 	// mutex is held while data are taken from the socket, so that no close comes
 	// between the data and their note in phase.
 	mutex sync.Mutex
@@ -54,6 +55,8 @@
 	// handled is true once a handler has got the request that is being read or answered, and
 	// timedOut once no more of it came in time.
 	handled, timedOut bool
+	// goesOn is true if the caller of that request hasn't announced the connection's end.
+	goesOn bool
 	// written is true once something was sent since the last whole answer.
 	written atomic.Bool
 	// overdue is how much may be read after the read deadline has passed, or noneFound.
@@ -105,7 +108,7 @@
 		case len(data) >= conn.buffer:
 			conn.phase, conn.since = idle, conn.server.clock.Now()
 		default:
-			conn.beginRequest()
+			conn.beginRequest(len(data))
 		}
 		return 0, nil, false
 	case err != nil:
@@ -115,13 +118,17 @@
 		conn.ended = true
 		return 0, io.EOF, true
 	}
-	conn.beginRequest()
+	conn.beginRequest(len(data))
+	conn.add(data[:n])
 	return n, nil, true
 }
 
 // beginRequest notes that part of a request has been read, and limits the time for the rest
-// of its header. The mutex must be held.
-func (conn *conn) beginRequest() {
+// of its header. Size is how much http.Server reads at most. The mutex must be held.
+func (conn *conn) beginRequest(size int) {
+	if conn.phase != busy {
+		conn.begin(size >= conn.buffer, size == conn.buffer-1)
+	}
 	if limit := conn.server.http.ReadHeaderTimeout; limit > 0 && (conn.phase == idle || conn.phase == answered) {
 		// http.Server sets its limit only once it has read four bytes.
 		_ = conn.SetReadDeadline(time.Now().Add(limit))
@@ -208,6 +215,9 @@
 		conn.phase, conn.handled, conn.timedOut = answered, false, false
 		conn.written.Store(false)
 	case state == http.StateActive && conn.phase != closed:
+		if conn.phase != busy {
+			conn.begin(false, false)
+		}
 		conn.phase = busy
 	}
 }
--- a/internal/base/inlet/exchange.go
+++ b/internal/base/inlet/exchange.go
@@ -20,7 +20,7 @@
 	whyBrokenOff   = "broken off"
 	whyHandlerFail = "handler failed"
 	// No handler got the request: no more of its header came in time, or this process
-	// closed the connection.
+	// closed the connection, maybe after the answer to the request before.
 	whyHeaderTime = "header time"
 	whyUnserved   = "not served"
 )
@@ -40,8 +40,11 @@
 
 // ServeHTTP implements http.Handler. It answers a request whose handler fails.
 func (server *Server) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
-	markHandled(request)
 	answer := &answer{ResponseWriter: writer, server: server}
+	if conn, ok := request.Context().Value(connKey{}).(*conn); ok {
+		conn.markHandled(request)
+		answer.conn = conn
+	}
 	ctx, cancel := answer.withGivenUp(request.Context())
 	defer cancel()
 	finish := beginAnswer(request)
@@ -93,10 +96,12 @@
 	metrics.GetOrCreateCounter(`agatestage_unanswered_requests_total{why="` + why + `"}`).Add(count)
 }
 
-// answer is an answer to a caller, which bears `Connection: close` if the server stops.
+// answer is an answer to a caller, which bears `Connection: close` if the server stops and no
+// other request has arrived behind its own.
 type answer struct {
 	http.ResponseWriter
 	server *Server
+	conn   *conn
 	begun  atomic.Bool
 }
 
@@ -148,7 +153,10 @@
 }
 
 func (answer *answer) announceClose() {
-	if !answer.begun.Load() && answer.server.stopping.Load() {
+	if answer.begun.Load() || !answer.server.stopping.Load() {
+		return
+	}
+	if answer.conn == nil || answer.server.givenUp.Err() != nil || !answer.conn.followed() {
 		answer.Header().Set("Connection", "close")
 	}
 }
--- a/internal/base/inlet/unserved.go
+++ b/internal/base/inlet/unserved.go
@@ -1,7 +1,6 @@
 package inlet
 
 import (
-	"net/http"
 	"syscall"
 	"time"
 
@@ -19,26 +18,21 @@
 	return conn.TCPConn.Write(data)
 }
 
-// markHandled notes that a handler has got the request.
-func markHandled(request *http.Request) {
-	conn, ok := request.Context().Value(connKey{}).(*conn)
-	if !ok {
-		return
-	}
-	conn.mutex.Lock()
-	defer conn.mutex.Unlock()
-	conn.handled = true
-}
-
 // markClosed notes that this process closes the connection. It returns why, if part or all
-// of a request has arrived which no handler has got and nothing was said of, and the
-// caller is still there.
+// of a request has arrived which no handler has got and nothing was said of, though its
+// caller is still there and hasn't announced the close itself.
 func (conn *conn) markClosed() (why string) {
 	conn.mutex.Lock()
 	defer conn.mutex.Unlock()
 	before := conn.phase
 	conn.phase = closed
-	if before == closed || conn.ended || conn.handled || conn.written.Load() {
+	if before == closed || conn.ended {
+		return ""
+	}
+	if conn.handled || conn.written.Load() {
+		if conn.goesOn && conn.end != unknownEnd && conn.arrived() > conn.end {
+			return whyUnserved
+		}
 		return ""
 	}
 	n, err := conn.peek()
--- a/internal/base/inlet/unserved_test.go
+++ b/internal/base/inlet/unserved_test.go
@@ -108,6 +108,27 @@
 		})
 		gomega.Expect(unanswered("not served")).To(gomega.Equal(before))
 	})
+	for name, line := range map[string]string{"": "", " by this process, not by its caller": "Connection: close\r\n"} {
+		ginkgo.It("is counted if it comes behind an answer that announces the close"+name, func() {
+			fixture := newFixture(agatestage.SystemClock())
+			caller := fixture.dial(true)
+			caller.send("GET /part HTTP/1.1\r\n")
+			caller.awaitArrival()
+			fixture.stop(context.Background())
+			caller.send(line + "Host: h\r\n\r\n")
+			gomega.Eventually(fixture.started, "5s").Should(gomega.Receive())
+			before := unanswered("not served")
+			caller.send(request)
+			caller.awaitArrival()
+			close(fixture.goAhead)
+			fixture.expectStopped(0)
+			counted := 1
+			if line != "" {
+				counted = 0
+			}
+			gomega.Expect(unanswered("not served")).To(gomega.Equal(before + counted))
+		})
+	}
 	ginkgo.It("is logged at most once a second, however many there are", func() {
 		var log bytes.Buffer
 		klog.LogToStderr(false)
