gate/batch: a repeated submission isn't refused as never kept while it may be

What callers saw: 503, which promises that no part of the job runs, for a job that was being written by an earlier submission of the same caller at this gateway (more often since such a write outlives its caller's bytes), and for one that another gateway had written when it couldn't be read back. Both jobs run.

Cause: both answers were the refusal of a job that the store hasn't got.

Ruled out: waiting for the earlier write: its outcome may stay unknown, and the caller goes to another gateway on 502 as well as on 503.

Change: both say that the outcome isn't known (502).

--- a/internal/gate/batch/access.go
+++ b/internal/gate/batch/access.go
@@ -35,6 +35,12 @@
 	return refusal
 }
 
+// unknownRefusal returns the refusal of a request whose write may be in the store, or get
+// there.
+func unknownRefusal(message string) *agatestage.Refusal {
+	return &agatestage.Refusal{Code: agatestage.CodeStore, Message: message, Ran: agatestage.RanUnknown}
+}
+
 // headOfOwner asks the gateway that was announced as a job's owner for the job's head and
 // results, and caches them.
 func (manager *Manager) headOfOwner(ctx context.Context, id string) (versionedHead, bool) {
@@ -147,7 +153,7 @@
 			return storeRefusal("the job can't be ended now", err)
 		}
 		if !errors.Is(err, errHeadChanged) {
-			return &agatestage.Refusal{Code: agatestage.CodeStore, Message: "the store did not say whether the job has ended", Ran: agatestage.RanUnknown}
+			return unknownRefusal("the store did not say whether the job has ended")
 		}
 		if head, err = manager.jobStore.head(ctx, id); err != nil {
 			return storeRefusal("the job can't be looked up now", err)
--- a/internal/gate/batch/forward.go
+++ b/internal/gate/batch/forward.go
@@ -29,7 +29,7 @@
 		return refusal
 	case err != nil:
 		klog.InfoS("job submission not acknowledged by another gateway", "job", spec.ID, "gateway", to.Name, "error", err.Error())
-		return &agatestage.Refusal{Code: agatestage.CodeStore, Message: "another gateway did not say whether it has the job", Ran: agatestage.RanUnknown}
+		return unknownRefusal("another gateway did not say whether it has the job")
 	}
 	klog.InfoS("job passed on", "job", spec.ID, "gateway", to.Name, "reason", cause.Error())
 	accepted, err := decodeVersionedHead(record)
--- a/internal/gate/batch/submit.go
+++ b/internal/gate/batch/submit.go
@@ -78,7 +78,7 @@
 	case manager.fleet.StoreOutage() > forwardAfter:
 		return manager.forward(ctx, spec, errors.New("this gateway has lost the store"))
 	case busy:
-		return storeRefusal("the job can't be kept now", errors.New("it is being submitted already"))
+		return unknownRefusal("the job is being submitted already, with an outcome that isn't known yet")
 	}
 	var parts [][]byte
 	if parts, err = encodeItems(spec.Items); err != nil {
@@ -111,7 +111,7 @@
 		return manager.forward(ctx, spec, err)
 	}
 	klog.InfoS("job submission not acknowledged by the store", "job", spec.ID, "error", err.Error())
-	return &agatestage.Refusal{Code: agatestage.CodeStore, Message: "the store did not say whether it has the job", Ran: agatestage.RanUnknown}
+	return unknownRefusal("the store did not say whether it has the job")
 }
 
 // startAccepted starts a job that has just been written, or notifies its owner. A job
@@ -141,7 +141,8 @@
 func (manager *Manager) checkResubmission(ctx context.Context, spec Spec, digest string) error {
 	observed, err := manager.jobStore.head(ctx, spec.ID)
 	if err != nil {
-		return storeRefusal("the job can't be looked up now", err)
+		klog.InfoS("job that is in the store not read", "job", spec.ID, "error", err.Error())
+		return unknownRefusal("the job can't be looked up now")
 	}
 	manager.cacheHead(observed)
 	return checkSameJob(observed.Head, spec, digest)
