entry/jobs, base/inlet: a caller that has closed its sending side gets its job, its pages and a true answer

What callers saw, if their bytes ended behind the request (TCP half-close): a job or upload was refused because 'a ledger did not take the job: context canceled', or, with the end a moment later, nobody knew whether it was accepted; a cancellation was refused as 'not cancelled yet', not run, though the owner had it; pages of results of which this entry keeps no copy couldn't be read.

Cause: every operation runs with the request's context, which net/http ends with the caller's bytes.

Weighed: leaving it (the outcome of the head's write could have been known, and is lost); refusing such jobs as not accepted (true, but by the moment at which the end is read, and a job isn't useless to a caller that has gone: its results stay, and its idempotency key finds it). Chosen: operations on jobs occupy no target, so they go on without the caller (inlet.WithoutCaller), until the server gives the request up in a stop. Each call to a ledger, owner or the store has its own bound; the writes that decide about a job end after 30 s altogether. An input that is cut short is still refused, as the bytes of its body are missing.

--- a/internal/base/inlet/left.go
+++ b/internal/base/inlet/left.go
@@ -30,3 +30,23 @@
 // GivenUp reports whether the request has been cancelled because its server is being
 // stopped. Its caller waits for an answer.
 func GivenUp(ctx context.Context) bool { return context.Cause(ctx) == errGivenUp }
+
+// WithoutCaller returns a context of the same request that doesn't end when its caller
+// leaves, only when the server gives the request up in a stop, or when the returned function
+// is called. It is for work whose outcome has to be known once it has begun.
+func WithoutCaller(parent context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancelCause(context.WithoutCancel(parent))
+	stop := context.AfterFunc(parent, func() {
+		cause := context.Cause(parent)
+		if conn, ok := parent.Value(connKey{}).(*conn); ok && cause != errGivenUp {
+			select {
+			case <-conn.server.givenUp.Done():
+				cause = errGivenUp
+			case <-ctx.Done():
+				return
+			}
+		}
+		cancel(cause)
+	})
+	return ctx, func() { stop(); cancel(nil) }
+}
--- a/internal/entry/jobs/create.go
+++ b/internal/entry/jobs/create.go
@@ -115,6 +115,8 @@
 		}
 		return heads.Head{}, err
 	}
+	ctx, cancel := context.WithTimeout(ctx, acceptTimeout)
+	defer cancel()
 	if key == "" {
 		return jobs.createHead(ctx, inputWriter)
 	}
@@ -214,8 +216,10 @@
 		head := entry.Head.Clone()
 		now := jobs.clock.Now().UTC()
 		head.State, head.Created, head.Due, head.Metadata = heads.StateRunning, now, now.Add(window), batchRequest.Metadata
-		if entry, err = jobs.registry.Swap(request.Context(), head, entry.Version); errors.Is(err, agatestage.ErrConflict) {
-			entry, err = jobs.registry.Fetch(request.Context(), head.ID)
+		ctx, cancel := context.WithTimeout(request.Context(), acceptTimeout)
+		defer cancel()
+		if entry, err = jobs.registry.Swap(ctx, head, entry.Version); errors.Is(err, agatestage.ErrConflict) {
+			entry, err = jobs.registry.Fetch(ctx, head.ID)
 		}
 		if err != nil {
 			return &agatestage.Refusal{Code: agatestage.CodeStore, Message: "the platform's store did not say whether the job was made; ask again", Ran: agatestage.RanUnknown}
--- a/internal/entry/jobs/jobs.go
+++ b/internal/entry/jobs/jobs.go
@@ -34,8 +34,11 @@
 
 const (
 	// askTimeout bounds a query to an owner, cancelTimeout a cancellation.
-	askTimeout              = 2 * time.Second
-	cancelTimeout           = 5 * time.Second
+	askTimeout    = 2 * time.Second
+	cancelTimeout = 5 * time.Second
+	// acceptTimeout bounds the writes that decide whether a job is accepted, whose caller may
+	// have left.
+	acceptTimeout           = 30 * time.Second
 	defaultCompletionWindow = 24 * time.Hour
 	batchPrefix             = "batch_"
 	filePrefix              = "file-"
@@ -106,12 +109,15 @@
 }
 
 // requireKey returns a handler that runs the operation only for requests with a
-// valid key.
+// valid key. A caller that has closed its sending side still reads, and occupies no target,
+// so the operation doesn't end with it.
 func (jobs *Jobs) requireKey(operation operation) http.HandlerFunc {
 	return func(writer http.ResponseWriter, request *http.Request) {
 		organisation, err := jobs.guard.Authenticate(request)
 		if err == nil {
-			err = operation(writer, request, organisation)
+			ctx, cancel := inlet.WithoutCaller(request.Context())
+			defer cancel()
+			err = operation(writer, request.WithContext(ctx), organisation)
 		}
 		if err != nil {
 			reply.Refuse(writer, err)
