entry/front: fields that any Connection line names are not forwarded

What targets saw: a hop-by-hop field of the caller's connection, if it was named by the second or a later Connection line. Cause: only the first line was read. Change: all are. The new test failed before and passes now.

--- a/internal/entry/front/body.go
+++ b/internal/entry/front/body.go
@@ -105,8 +105,10 @@
 // and credentials.
 func forwardedHeader(header http.Header) http.Header {
 	copied := header.Clone()
-	for _, field := range strings.Split(copied.Get("Connection"), ",") {
-		copied.Del(strings.TrimSpace(field))
+	for _, line := range header.Values("Connection") {
+		for field := range strings.SplitSeq(line, ",") {
+			copied.Del(strings.TrimSpace(field))
+		}
 	}
 	for _, name := range hopByHopHeaders {
 		copied.Del(name)
--- a/internal/entry/front/body_test.go
+++ b/internal/entry/front/body_test.go
@@ -37,3 +37,10 @@
 		prompt.prefixHash("lothian")
 	})
 }
+
+func TestFieldsThatAnyConnectionLineNamesAreNotForwarded(t *testing.T) {
+	expect := gomega.NewWithT(t)
+	header := http.Header{"Connection": {"close, X-First", "X-Second"}, "X-First": {"1"}, "X-Second": {"2"}, "X-Kept": {"3"}}
+	expect.Expect(forwardedHeader(header)).To(gomega.Equal(http.Header{"X-Kept": {"3"}}))
+	expect.Expect(header).To(gomega.HaveLen(4))
+}
