--- a/internal/base/inlet/inlet_test.go
+++ b/internal/base/inlet/inlet_test.go
@@ -98,6 +98,13 @@
 		if _, err := io.Copy(io.Discard, request.Body); err != nil {
 			panic(http.ErrAbortHandler)
 		}
+	case "/without-caller":
+		ctx, cancel := inlet.WithoutCaller(request.Context())
+		defer cancel()
+		fixture.started <- struct{}{}
+		<-request.Context().Done()
+		fixture.cancelled <- struct{}{}
+		<-ctx.Done()
 	case "/abort":
 		panic(http.ErrAbortHandler)
 	case "/panic":
--- a/internal/gate/batch/access.go
+++ b/internal/gate/batch/access.go
@@ -35,6 +35,12 @@
 	return refusal
 }
 
+// unknownRefusal returns the refusal of a request whose write may be in the store, or get
+// there.
+func unknownRefusal(message string) *agatestage.Refusal {
+	return &agatestage.Refusal{Code: agatestage.CodeStore, Message: message, Ran: agatestage.RanUnknown}
+}
+
 // headOfOwner asks the gateway that was announced as a job's owner for the job's head and
 // results, and caches them.
 func (manager *Manager) headOfOwner(ctx context.Context, id string) (versionedHead, bool) {
@@ -69,10 +75,20 @@
 		}
 		manager.cacheHead(observed)
 	}
-	if observed.Organisation != organisation {
-		return observed, agatestage.Refuse(agatestage.CodeNotFound, "there is no job %s", id)
+	return observed, checkOrganisation(observed.Head, organisation)
+}
+
+// checkOrganisation returns a refusal if an organisation may not see a job. All may see a job
+// that was accepted without a key. A caller without an organisation isn't told that there is
+// no job: only the configuration in force here needs no key of it.
+func checkOrganisation(head Head, organisation string) error {
+	switch {
+	case head.Organisation == "" || head.Organisation == organisation:
+		return nil
+	case organisation == "":
+		return agatestage.Refuse(agatestage.CodeNotFresh, "the job is that of an organisation, and the configuration has none")
 	}
-	return observed, nil
+	return agatestage.Refuse(agatestage.CodeNotFound, "there is no job %s", head.ID)
 }
 
 // Body returns the request body of an item.
@@ -137,7 +153,7 @@
 			return storeRefusal("the job can't be ended now", err)
 		}
 		if !errors.Is(err, errHeadChanged) {
-			return &agatestage.Refusal{Code: agatestage.CodeStore, Message: "the store did not say whether the job has ended", Ran: agatestage.RanUnknown}
+			return unknownRefusal("the store did not say whether the job has ended")
 		}
 		if head, err = manager.jobStore.head(ctx, id); err != nil {
 			return storeRefusal("the job can't be looked up now", err)
