side/serve, side/start: a side that stops refuses calls that were on their way

What callers saw: a call that an entry had sent before it heard that the side was leaving, to a side with nothing running, ended with its link: 502, may have run. It had not run; one that isn't idempotent can't be sent again after that.

Cause: Drain returned at once if no call ran, and the side closed its links.

--- a/internal/base/setup/settings.go
+++ b/internal/base/setup/settings.go
@@ -97,7 +97,7 @@
 // Drain holds the time limits of a graceful shutdown.
 type Drain struct {
 	// Notice is how long an entry continues to accept requests after it has started
-	// to report not ready.
+	// to report not ready, and how long a side that leaves refuses calls at least.
 	Notice Duration
 	// Limit limits the wait for requests in flight.
 	Limit Duration
--- a/internal/side/serve/server.go
+++ b/internal/side/serve/server.go
@@ -27,7 +27,9 @@
 // and every entry has received the ends of its calls; the revision of the policy never
 // decreases.
 type Server struct {
-	clock           agatestage.Clock
+	clock agatestage.Clock
+	// notice is how long a side that leaves waits for calls that are on their way.
+	notice          time.Duration
 	targets         map[string]*state.Target
 	mutex           sync.Mutex
 	leaving         bool
@@ -41,13 +43,26 @@
 }
 
 // New returns a server without targets; see Add.
-func New(clock agatestage.Clock) *Server {
-	return &Server{
+func New(clock agatestage.Clock, options ...Option) *Server {
+	server := &Server{
 		clock:    clock,
 		targets:  make(map[string]*state.Target),
 		models:   make(map[string]model.Model),
 		watchers: make(map[chan struct{}]struct{}),
 	}
+	for _, option := range options {
+		option(server)
+	}
+	return server
+}
+
+// Option configures a Server.
+type Option func(*Server)
+
+// WithNotice sets how long a side that leaves refuses calls at least: an entry that hasn't
+// heard of it yet must learn that its call has not run.
+func WithNotice(notice time.Duration) Option {
+	return func(server *Server) { server.notice = notice }
 }
 
 // Add adds a target. All targets must be added before Register is called.
@@ -95,19 +110,22 @@
 	}
 }
 
-// Drain makes the side refuse new calls and waits until the running ones have
-// finished and their ends have been received, but no longer than limit.
+// Drain makes the side refuse new calls and waits until the running ones have finished,
+// their ends have been received and the notice has passed, but no longer than limit.
 func (server *Server) Drain(limit time.Duration) {
 	server.mutex.Lock()
 	server.leaving = true
+	// The notice counts as a call.
+	server.running++
 	idle := make(chan struct{})
-	if server.running == 0 {
-		close(idle)
-	} else {
-		server.idle = idle
-	}
+	server.idle = idle
 	server.mutex.Unlock()
 	server.Changed()
+	notice := server.clock.NewTimer(server.notice)
+	go func() {
+		<-notice.C()
+		server.endCall()
+	}()
 	timer := server.clock.NewTimer(limit)
 	defer timer.Stop()
 	select {
--- a/internal/side/serve/server_test.go
+++ b/internal/side/serve/server_test.go
@@ -49,7 +49,7 @@
 	release chan struct{}
 }
 
-func newFixture() *fixture {
+func newFixture(options ...serve.Option) *fixture {
 	ginkgo.GinkgoHelper()
 	ctx, cancel := context.WithCancel(context.Background())
 	ginkgo.DeferCleanup(cancel)
@@ -62,7 +62,7 @@
 		ginkgo.DeferCleanup(node.Close)
 		return node
 	}
-	fixture := &fixture{Server: serve.New(clock), side: newNode("side-a", agatestage.RoleSide), entry: newNode("entry-a", agatestage.RoleEntry), release: make(chan struct{})}
+	fixture := &fixture{Server: serve.New(clock, options...), side: newNode("side-a", agatestage.RoleSide), entry: newNode("entry-a", agatestage.RoleEntry), release: make(chan struct{})}
 	server := httptest.NewServer(http.HandlerFunc(fixture.answer))
 	ginkgo.DeferCleanup(server.Close)
 	backend := engine.NewService(netip.MustParseAddrPort(server.Listener.Addr().String()))
@@ -146,4 +146,29 @@
 		}()
 		gomega.Eventually(stopped, drainLimit).Should(gomega.BeClosed())
 	})
+	ginkgo.It("refuses a call as not run that was on its way when the stop began", func() {
+		fixture := newFixture(serve.WithNotice(drainLimit))
+		stream, finish, err := fixture.entry.Begin(context.Background(), fixture.address, calls.KindCall)
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		defer finish()
+		call := agatestage.Call{ID: "call", Service: "service", Method: http.MethodPost, Path: "/", Timeout: time.Minute}
+		gomega.Expect(stream.Send(calls.Request{Target: "target", Call: call})).To(gomega.Succeed())
+		go func() {
+			fixture.Drain(drainLimit)
+			_ = fixture.side.Close()
+		}()
+		var part calls.AnswerPart
+		gomega.Expect(stream.Receive(&part)).To(gomega.Succeed())
+		gomega.Expect(part.End).NotTo(gomega.BeNil())
+		gomega.Expect(part.End.Refusal.Code).To(gomega.Equal(agatestage.CodeStopping))
+	})
+	ginkgo.It("ends after its notice if nothing runs", func() {
+		fixture := newFixture(serve.WithNotice(linkDelay))
+		stopped := make(chan struct{})
+		go func() {
+			defer close(stopped)
+			fixture.Drain(time.Hour)
+		}()
+		gomega.Eventually(stopped, drainLimit).Should(gomega.BeClosed())
+	})
 })
--- a/internal/side/start/start.go
+++ b/internal/side/start/start.go
@@ -55,7 +55,7 @@
 
 // newServer returns a server with the targets in the settings.
 func newServer(settings setup.Settings, clock agatestage.Clock) *serve.Server {
-	server := serve.New(clock)
+	server := serve.New(clock, serve.WithNotice(settings.Drain.Notice.Duration))
 	for _, target := range settings.Targets {
 		pool := slots.New(clock, target.Slots, target.Queue, server.Changed, slots.WithSpacing(target.Spacing.Duration))
 		var backend agatestage.Target
