entry/jobs: a cancellation that has begun is not called not run

What callers saw: while the store was out, or the owner's answer was lost, a cancellation got 503 'the job is not cancelled yet', not run, though the job's owner had dropped its items and would write the cancellation as soon as it could.

Cause: the owner waited for the store as long as the asking entry waited for the owner (5 s), so the latter always gave up first; and every error of the question was taken for the owner's absence.

Change: the owner answers after 3 s with what it knows (cancelling); if it doesn't answer, nobody knows whether it cancels the job, and the refusal says so. 'Not cancelled yet' is left for a job that has no owner or whose owner denies it.

--- a/internal/entry/jobs/jobs.go
+++ b/internal/entry/jobs/jobs.go
@@ -33,7 +33,8 @@
 const KindJob = "Job"
 
 const (
-	// askTimeout bounds a query to an owner, cancelTimeout a cancellation.
+	// askTimeout bounds a query to an owner, cancelTimeout a cancellation. The owner of a job
+	// that is cancelled answers earlier by askTimeout.
 	askTimeout    = 2 * time.Second
 	cancelTimeout = 5 * time.Second
 	// acceptTimeout bounds the writes that decide whether a job is accepted, whose caller may
@@ -161,6 +162,9 @@
 	return owner.Progress{Head: entry.Head, Completed: entry.Head.Completed, Failed: entry.Head.Failed}
 }
 
+// errNoOwner means that there is nobody to ask.
+var errNoOwner = errors.New("the job has no owner at the moment")
+
 // ask sends a query to the job's owner, which may be this entry.
 func (jobs *Jobs) ask(ctx context.Context, head heads.Head, ask Ask, timeout time.Duration) (ownerReply OwnerReply, err error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
@@ -170,7 +174,7 @@
 	}
 	address, ok := jobs.roster.Address(head.Owner)
 	if !ok {
-		return ownerReply, errors.New("the job has no owner at the moment")
+		return ownerReply, errNoOwner
 	}
 	err = jobs.node.Ask(ctx, address, KindJob, ask, &ownerReply)
 	return ownerReply, err
@@ -185,6 +189,8 @@
 	}
 	ownerReply.Owned = true
 	if ask.Cancel {
+		ctx, cancel := context.WithTimeout(ctx, cancelTimeout-askTimeout)
+		defer cancel()
 		// If the cancellation is not in the store yet, the progress reports the
 		// job as cancelling.
 		_ = job.Cancel(ctx)
@@ -267,6 +273,9 @@
 	ownerReply, err := jobs.ask(request.Context(), entry.Head, Ask{Job: entry.Head.ID, Cancel: true}, cancelTimeout)
 	if err != nil || !ownerReply.Owned {
 		refusal := agatestage.Refuse(agatestage.CodeLedger, "the job's owner is not there at the moment; the job is not cancelled yet")
+		if err != nil && !errors.Is(err, errNoOwner) {
+			refusal.Message, refusal.Ran = "the job's owner did not say whether it cancels the job; ask again", agatestage.RanUnknown
+		}
 		refusal.RetryAfter = askTimeout
 		return refusal
 	}
--- a/test/callers/jobs_test.go
+++ b/test/callers/jobs_test.go
@@ -13,6 +13,7 @@
 	"github.com/onsi/gomega"
 
 	"github.com/agatestage/agatestage"
+	"github.com/agatestage/agatestage/internal/batch/heads"
 	"github.com/agatestage/agatestage/internal/entry/jobs"
 	"github.com/agatestage/agatestage/internal/fake/store"
 	"github.com/agatestage/agatestage/internal/tool/client"
@@ -94,6 +95,14 @@
 	}
 }
 
+// submit sends a job on a connection that the caller of submit closes.
+func submit(entry string) *conn {
+	ginkgo.GinkgoHelper()
+	conn := dial(entry)
+	conn.send(creation(1, ""))
+	return conn
+}
+
 // jobRecords returns the number of jobs in the store.
 func jobRecords() int {
 	ginkgo.GinkgoHelper()
@@ -178,4 +187,38 @@
 			gomega.Expect(jobRecords()).To(gomega.Equal(before))
 		})
 	}
+
+	ginkgo.It("a cancellation that the store can't take yet is told as begun, at each entry", func() {
+		entries := []string{entryName, otherEntry, farEntry}
+		created := begin(entryName, creation(manyTokens, "")).document()
+		expectStarted(created.ID)
+		fleet.Store.SetFaults(store.Faults{Outage: true})
+		ginkgo.DeferCleanup(func() {
+			fleet.Store.SetFaults(store.Faults{})
+			// The entries' leases end in an outage.
+			for _, entry := range entries {
+				var id string
+				gomega.Eventually(func() int {
+					conn := submit(entry)
+					defer conn.Close()
+					status, body := conn.finish()
+					var accepted job
+					gomega.Expect(json.Unmarshal([]byte(body), &accepted)).To(gomega.Succeed())
+					id = accepted.ID
+					return status
+				}, patience, pollInterval).Should(gomega.Equal(http.StatusOK))
+				gomega.Eventually(func() bool {
+					found, err := fleet.Store.Get(context.Background(), "job/"+strings.TrimPrefix(id, "batch_"))
+					return err == nil && strings.Contains(string(found.Value), string(heads.StateDone))
+				}, patience, pollInterval).Should(gomega.BeTrue())
+			}
+		})
+		var conns []*conn
+		for _, entry := range entries {
+			conns = append(conns, sendClosed(entry, request{path: "/v1/batches/" + created.ID + "/cancel"}))
+		}
+		for _, conn := range conns {
+			gomega.Expect(conn.document().Status).To(gomega.Equal("cancelling"))
+		}
+	})
 })
