side/exec: the stand-in service of a test closes its connections itself

Cause: the stand-in's accept loop registered a cleanup for each connection, also for one that it accepts while the cleanup of the spec runs.

Change: one cleanup closes the listener and all connections; one that is accepted meanwhile is closed at once.

--- a/internal/side/exec/unframed_test.go
+++ b/internal/side/exec/unframed_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"sync"
 	"time"
 
 	"github.com/onsi/ginkgo/v2"
@@ -44,14 +45,38 @@
 	// ended is called after the answer, and next with each connection after it.
 	ended func()
 	next  func(conn *net.TCPConn)
+	mutex sync.Mutex
+	conns []net.Conn
+	over  bool
 }
 
 func newService() *service {
 	ginkgo.GinkgoHelper()
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	gomega.Expect(err).NotTo(gomega.HaveOccurred())
-	ginkgo.DeferCleanup(func() { _ = listener.Close() })
-	return &service{Listener: listener, ended: func() {}, next: func(*net.TCPConn) {}}
+	service := &service{Listener: listener, ended: func() {}, next: func(*net.TCPConn) {}}
+	ginkgo.DeferCleanup(service.stop)
+	return service
+}
+
+// stop closes the listener and all connections, also one that is accepted meanwhile.
+func (service *service) stop() {
+	_ = service.Close()
+	service.mutex.Lock()
+	defer service.mutex.Unlock()
+	service.over = true
+	for _, conn := range service.conns {
+		_ = conn.Close()
+	}
+}
+
+// keep keeps a connection open until the service stops.
+func (service *service) keep(conn net.Conn) {
+	service.mutex.Lock()
+	defer service.mutex.Unlock()
+	if service.conns = append(service.conns, conn); service.over {
+		_ = conn.Close()
+	}
 }
 
 func (service *service) serve() {
@@ -61,7 +86,7 @@
 		if err != nil {
 			return
 		}
-		ginkgo.DeferCleanup(func() { _ = conn.Close() })
+		service.keep(conn)
 		if called {
 			service.next(conn.(*net.TCPConn))
 			continue
