entry/admin: an operator that has closed its sending side gets its plan and confirmation

What operators saw, if their bytes ended behind the request (TCP half-close): 503 'the platform's store did not answer: ... context canceled' for a plan, and for a confirmation an outcome that nobody knew, though the write could go on.

Ruled out: refusing such a request at once, as a confirmation that was sent is meant.

Change: operators' operations go on without the caller (inlet.WithoutCaller) until the server gives the request up in a stop.

--- a/internal/entry/admin/admin.go
+++ b/internal/entry/admin/admin.go
@@ -12,6 +12,7 @@
 	"github.com/gorilla/mux"
 
 	"github.com/agatestage/agatestage"
+	"github.com/agatestage/agatestage/internal/base/inlet"
 	"github.com/agatestage/agatestage/internal/conf/feed"
 	"github.com/agatestage/agatestage/internal/conf/model"
 	"github.com/agatestage/agatestage/internal/conf/plans"
@@ -94,7 +95,10 @@
 			reply.Refuse(writer, err)
 			return
 		}
-		document, err := operation(request)
+		// The operator may only have closed its sending side, and a change would go on.
+		ctx, cancel := inlet.WithoutCaller(request.Context())
+		defer cancel()
+		document, err := operation(request.WithContext(ctx))
 		if err != nil {
 			reply.Refuse(writer, err)
 			return
