--- a/internal/base/inlet/inlet.go
+++ b/internal/base/inlet/inlet.go
@@ -55,7 +55,7 @@
 	// idleLimit is how long a connection may be idle; zero means without limit.
 	idleLimit time.Duration
 	conns     map[*conn]struct{}
-	// writeTimeout is how long a caller may take to read a part of an answer.
+	// writeTimeout is how long a caller may read nothing of what waits for it.
 	writeTimeout time.Duration
 	// unservedAt is when a request that no handler got was logged last, and unlogged how many
 	// have come since.
--- a/internal/entry/jobs/jobs.go
+++ b/internal/entry/jobs/jobs.go
@@ -162,7 +162,7 @@
 	return owner.Progress{Head: entry.Head, Completed: entry.Head.Completed, Failed: entry.Head.Failed}
 }
 
-// errNoOwner means that there is nobody to ask.
+// errNoOwner means that no entry owns the job, so that none can be asked.
 var errNoOwner = errors.New("the job has no owner at the moment")
 
 // ask sends a query to the job's owner, which may be this entry.
--- a/internal/gate/gossip/receive.go
+++ b/internal/gate/gossip/receive.go
@@ -62,7 +62,7 @@
 		return false
 	}
 	version, listed := mesh.source.Version(), mesh.roster.Members()[state.Name].Instance
-	// If both hear the store, it tells of a new process soon.
+	// While both gateways hear the store, a new process appears in its membership record.
 	maybeLate := listed != "" && listed != state.Instance && state.Hears && mesh.source.StoreOutage() == 0
 	mesh.mutex.Lock()
 	known := mesh.peers[state.Name]
