route/blame, gate/start, entry/start: requests in quarantine are kept in the platform's store

Cause: what is known of such a request was in the memory of the gateways only, and passed on by messages between them.

Ruled out: a key for each request with a lease (two calls a change, and the lease ends with its gateway); following the key (a poll a gateway for what hardly ever changes); keeping single losses, which most targets that go down leave behind for sound requests.

Change: one record of the store, at most 400 requests, each with its last losses, those of other targets that explain them, and its completion. A process saves what it has found out itself; the owner of a request's trials checks 2 s later what it has heard. A gateway reads the record before it is ready, unless the store is out and another gateway is heard. The losses of others are kept, too: without them a sound request that was lost with a rack would be barred after a restart.

--- a/internal/entry/peers/trial.go
+++ b/internal/entry/peers/trial.go
@@ -13,10 +13,8 @@
 // PermitTrial asks the entry that permits the trials of the request. If it isn't reached,
 // there is no permission. It implements blame.Permit.
 func (mesh *Mesh) PermitTrial(ctx context.Context, inquiry blame.Inquiry) (permitted bool) {
-	others, self := mesh.otherEntries(), mesh.roster.Self().Name
-	names := append(mesh.heard(), self)
-	owner, err := blame.Owner(inquiry.Fingerprint, names), error(nil)
-	if owner == self {
+	others, owner, err := mesh.otherEntries(), mesh.trialOwner(inquiry.Fingerprint), error(nil)
+	if owner == mesh.roster.Self().Name {
 		permitted = mesh.blame.PermitTrial(inquiry)
 	} else {
 		ctx, cancel := context.WithTimeout(ctx, strikeTimeout)
@@ -30,6 +28,16 @@
 	return permitted && err == nil
 }
 
+// OwnsTrials reports whether this entry permits the trials of a request.
+func (mesh *Mesh) OwnsTrials(fingerprint uint64) bool {
+	return mesh.trialOwner(fingerprint) == mesh.roster.Self().Name
+}
+
+// trialOwner returns the name of the entry that permits the trials of a request.
+func (mesh *Mesh) trialOwner(fingerprint uint64) string {
+	return blame.Owner(fingerprint, append(mesh.heard(), mesh.roster.Self().Name))
+}
+
 // heard returns the names of the other entries whose status is valid.
 func (mesh *Mesh) heard() (names []string) {
 	others := mesh.otherEntries()
--- a/internal/entry/start/start.go
+++ b/internal/entry/start/start.go
@@ -61,7 +61,7 @@
 var Module = fx.Module("entry",
 	fx.Provide(
 		openBundle, newNode, newStore, newHosts, newFeed, newRoster, newFleet, newMesh, newGuard,
-		newRouter, blame.New, newRelay, newAgent, newPlanner, newAdmin,
+		newRouter, blame.New, newArchive, newRelay, newAgent, newPlanner, newAdmin,
 		newLedger, newSites, heads.New, owner.New, newDispatcher, newJobs, newRepairer, newAuthorizer, newFront, newEntry,
 	),
 	fx.Invoke(run),
@@ -119,6 +119,10 @@
 	return relay.New(node, fleet, router, list, clock, relay.WithStrikes(mesh.Strike))
 }
 
+func newArchive(store agatestage.Store, clock agatestage.Clock, list *blame.List, mesh *peers.Mesh) *blame.Archive {
+	return blame.NewArchive(store, clock, list, blame.WithOwned(mesh.OwnsTrials))
+}
+
 func newAgent(settings setup.Settings, node *link.Node, roster *member.Roster, store agatestage.Store, feed *feed.Feed, fleet *fleet.Fleet, clock agatestage.Clock) *agent.Agent {
 	return agent.New(node, roster, store, feed, fleet.Hosts, settings.Bounds.LimitWait.Duration, clock)
 }
@@ -262,6 +266,7 @@
 	Bundle     *certs.Bundle
 	Roster     *member.Roster
 	Feed       *feed.Feed
+	Archive    *blame.Archive
 	Mesh       *peers.Mesh
 	Fleet      *fleet.Fleet
 	Limits     *agent.Agent
@@ -291,7 +296,7 @@
 
 func (entry *Entry) start(components components) {
 	entry.tree.Start("links", components.Bundle, entry.Node)
-	entry.tree.Start("state", components.Roster.Renewer(), components.Roster, components.Feed)
+	entry.tree.Start("state", components.Roster.Renewer(), components.Roster, components.Feed, components.Archive)
 	entry.tree.Start("peers", components.Mesh, components.Fleet)
 	entry.tree.Start("limits", components.Limits.Services()...)
 	batch := []super.Service{components.Heads, components.Owner}
--- a/internal/gate/gossip/trial.go
+++ b/internal/gate/gossip/trial.go
@@ -32,6 +32,11 @@
 	return permitted && err == nil
 }
 
+// OwnsTrials reports whether this gateway permits the trials of a request.
+func (mesh *Mesh) OwnsTrials(fingerprint uint64) bool {
+	return mesh.trialOwner(fingerprint).Name == mesh.roster.Self().Name
+}
+
 // trialOwner returns the gateway that permits the trials of a request.
 func (mesh *Mesh) trialOwner(fingerprint uint64) State {
 	alive := mesh.Alive()
--- a/internal/gate/start/start.go
+++ b/internal/gate/start/start.go
@@ -193,7 +193,7 @@
 		}
 	})
 	gateway.tree.Start("links", components.Bundle, components.Node)
-	gateway.tree.Start("state", components.Roster.Renewer(), components.Roster, components.View.config, components.View.targets)
+	gateway.tree.Start("state", components.Roster.Renewer(), components.Roster, components.View.config, components.View.targets, components.Archive)
 	gateway.tree.Start("gateways", components.Mesh)
 	gateway.tree.Start("connections", super.Func("connections", func(ctx context.Context) error {
 		return ticks.Every(ctx, gateway.clock, idleCheckPeriod, func(context.Context) {
@@ -207,11 +207,11 @@
 		"callers", gateway.settings.Listen.Caller, "peers", gateway.settings.Listen.Peer, "metrics", gateway.settings.Listen.Metrics)
 }
 
-// awaitReady waits until the configuration, the targets and the other gateways are known,
-// then reports the gateway ready.
+// awaitReady waits until the configuration, the targets, the other gateways and the requests
+// in quarantine are known, then reports the gateway ready.
 func (gateway *Gateway) awaitReady(ctx context.Context) {
 	for ctx.Err() == nil {
-		if gateway.components.Holder.Current() != nil && gateway.components.View.targets.Listed() && gateway.knowsOthers() {
+		if gateway.components.Holder.Current() != nil && gateway.components.View.targets.Listed() && gateway.knowsOthers() && gateway.knowsQuarantine() {
 			close(gateway.initialized)
 			gateway.ready.Store(true)
 			klog.InfoS("gateway ready", "version", gateway.components.Holder.Version())
@@ -227,6 +227,12 @@
 	return !gateway.components.Roster.ConfirmedAt().IsZero() || len(gateway.components.Mesh.Admitting()) > 0
 }
 
+// knowsQuarantine reports whether the requests in quarantine have been read from the store.
+// While it is out, the other gateways send them.
+func (gateway *Gateway) knowsQuarantine() bool {
+	return gateway.components.Archive.Loaded() || gateway.components.View.StoreOutage() > 0 && len(gateway.components.Mesh.Admitting()) > 0
+}
+
 // drainAndStop reports the gateway not ready, so that the load balancer sends requests
 // elsewhere, and hands its jobs over. After the notice time it closes each kept
 // connection after its next answer and waits for running requests, then stops.
--- a/internal/gate/start/wire.go
+++ b/internal/gate/start/wire.go
@@ -11,6 +11,7 @@
 
 	"github.com/agatestage/agatestage"
 	"github.com/agatestage/agatestage/internal/base/setup"
+	"github.com/agatestage/agatestage/internal/base/ticks"
 	"github.com/agatestage/agatestage/internal/gate/batch"
 	"github.com/agatestage/agatestage/internal/gate/conns"
 	"github.com/agatestage/agatestage/internal/gate/feeds"
@@ -47,6 +48,7 @@
 	Holder  *rules.Holder
 	Pool    *conns.Pool
 	Relay   *relay.Relay
+	Archive *blame.Archive
 	View    *clusterView
 	Mesh    *gossip.Mesh
 	Jobs    *batch.Manager
@@ -67,7 +69,7 @@
 			func() Adapter { return adapter },
 			func() agatestage.Clock { return clock },
 			func() agatestage.Transactor { return adapter.Store() },
-			newNode, newRoster, conns.New, rules.NewHolder, feeds.NewStoreHealth, feeds.NewDuty, blame.New, newClusterView, provideScheduler, newMesh, newTally, newRelay, newJobs, newHandler,
+			newNode, newRoster, conns.New, rules.NewHolder, feeds.NewStoreHealth, feeds.NewDuty, blame.New, newClusterView, provideScheduler, newMesh, newTally, newRelay, newArchive, newJobs, newHandler,
 		),
 		fx.Invoke(func(components components) { *assembled = components }),
 	)
@@ -121,6 +123,13 @@
 	return relay.New(clock, scheduler, pool, adapter, blameList, relay.WithStrikes(mesh.BroadcastStrike))
 }
 
+func newArchive(store agatestage.Transactor, clock agatestage.Clock, blameList *blame.List, mesh *gossip.Mesh, storeHealth *feeds.StoreHealth) *blame.Archive {
+	return blame.NewArchive(store, clock, blameList, blame.WithOwned(mesh.OwnsTrials), blame.WithRetryWait(func(ctx context.Context) {
+		ticks.Wait(ctx, clock, storeRetryDelay)
+		storeHealth.AwaitRecovery(ctx)
+	}))
+}
+
 func newJobs(settings setup.Settings, instance instance, store agatestage.Transactor, clock agatestage.Clock, relay *relay.Relay, holder *rules.Holder, clusterView *clusterView, storeHealth *feeds.StoreHealth, duty *feeds.Duty, node *link.Node, mesh *gossip.Mesh) *batch.Manager {
 	self := batch.Gateway{Name: settings.Name, Instance: string(instance), Region: settings.Region}
 	jobs := batch.New(self, store, clock, relay, holder, clusterView, serve.Fingerprint,
--- a/internal/route/blame/blame.go
+++ b/internal/route/blame/blame.go
@@ -64,6 +64,12 @@
 // Name returns the fingerprint as logs show it.
 func Name(fingerprint uint64) string { return strconv.FormatUint(fingerprint, 16) }
 
+// fingerprintOf returns the fingerprint that logs show as the name.
+func fingerprintOf(name string) (fingerprint uint64, ok bool) {
+	fingerprint, err := strconv.ParseUint(name, 16, 64)
+	return fingerprint, err == nil && fingerprint != blameless
+}
+
 // loss is the loss of a target.
 type loss struct {
 	target string
@@ -87,6 +93,8 @@
 	// trialCall the ID of its call.
 	trialUntil time.Time
 	trialCall  string
+	// own is true if this process has found out part of it.
+	own bool
 }
 
 // List holds the strikes known to an entry or gateway.
@@ -98,12 +106,15 @@
 	// losses holds the losses of all targets.
 	losses  []loss
 	expired time.Time
+	// changed is called with the mutex held when what is known of a request in quarantine
+	// has changed; own is that of its record.
+	changed func(own bool)
 }
 
 // New returns an empty list. Trials are permitted by the list itself until SetPermit is
 // called.
 func New(clock agatestage.Clock) *List {
-	list := &List{clock: clock, records: make(map[uint64]*record)}
+	list := &List{clock: clock, records: make(map[uint64]*record), changed: func(bool) {}}
 	list.permit = func(_ context.Context, inquiry Inquiry) bool { return list.PermitTrial(inquiry) }
 	return list
 }
@@ -120,7 +131,9 @@
 // that is to be reported to the others.
 func (list *List) Charge(call *agatestage.Call, target string) Strike {
 	strike := Strike{Fingerprint: blamed(call), Target: target, Trial: call.Trial}
-	list.Add(strike)
+	list.mutex.Lock()
+	defer list.mutex.Unlock()
+	list.add(strike, true)
 	return strike
 }
 
@@ -133,7 +146,8 @@
 	if found == nil || len(found.losses) < quarantineLosses {
 		return Strike{}, false
 	}
-	found.complete(list.clock.Now())
+	found.own = true
+	list.complete(found, list.clock.Now())
 	return Strike{Completed: blamed(call)}, true
 }
 
@@ -149,10 +163,16 @@
 	return released, true
 }
 
-func (record *record) complete(at time.Time) {
+// complete records that a target has completed a request in quarantine. The mutex must be
+// held.
+func (list *List) complete(record *record, at time.Time) {
 	record.trialUntil = time.Time{}
-	if at.After(record.completedAt) {
-		record.completedAt = at
+	if !at.After(record.completedAt) {
+		return
+	}
+	completed, pardoned := record.completed(), record.pardoned()
+	if record.completedAt = at; completed != record.completed() || pardoned != record.pardoned() {
+		list.changed(record.own)
 	}
 }
 
@@ -160,12 +180,18 @@
 func (list *List) Add(strike Strike) bool {
 	list.mutex.Lock()
 	defer list.mutex.Unlock()
+	return list.add(strike, false)
+}
+
+// add records a strike, which this process has found out itself if own is true. The mutex
+// must be held.
+func (list *List) add(strike Strike, own bool) bool {
 	now := list.clock.Now()
 	list.expire(now)
 	at := now.Add(-strike.Age)
 	if strike.Completed != blameless {
 		if found := list.records[strike.Completed]; found != nil {
-			found.complete(at)
+			list.complete(found, at)
 		}
 		return false
 	}
@@ -176,7 +202,10 @@
 		return false
 	}
 	loss := loss{target: strike.Target, at: at, trial: strike.Trial}
-	list.losses, _ = insert(list.losses, loss)
+	var added bool
+	if list.losses, added = insert(list.losses, loss); added {
+		list.noticeCommon(loss)
+	}
 	if strike.Fingerprint == blameless || strike.Age >= repeatedLife {
 		return false
 	}
@@ -188,13 +217,26 @@
 		found = &record{}
 		list.records[strike.Fingerprint] = found
 	}
-	var added bool
+	found.own = found.own || own
 	if found.losses, added = insert(found.losses, loss); added {
 		found.trialUntil = time.Time{}
+		if len(found.losses) >= quarantineLosses {
+			list.changed(found.own)
+		}
 	}
 	return added
 }
 
+// noticeCommon notes that a loss may explain those of requests in quarantine. The mutex must
+// be held.
+func (list *List) noticeCommon(loss loss) {
+	for _, record := range list.records {
+		if len(record.losses) >= quarantineLosses && len(around(record.losses, loss.at)) > 0 {
+			list.changed(record.own)
+		}
+	}
+}
+
 // insert adds a loss to those that are sorted by time, unless it is among them.
 func insert(losses []loss, added loss) ([]loss, bool) {
 	if slices.ContainsFunc(around(losses, added.at), added.same) {
--- a/internal/route/blame/quarantine.go
+++ b/internal/route/blame/quarantine.go
@@ -144,7 +144,7 @@
 		return false, nil
 	}
 	occasions, unexplained := list.occasions(record)
-	if record.pardoned() || unexplained < barringOccasions && record.completedAt.After(record.last()) {
+	if record.pardoned() || unexplained < barringOccasions && record.completed() {
 		return false, nil
 	}
 	wait := record.last().Add(pause(occasions, unexplained)).Sub(now)
@@ -159,6 +159,9 @@
 // last returns when the last target was lost.
 func (record *record) last() time.Time { return record.losses[len(record.losses)-1].at }
 
+// completed reports whether a target has completed the request since the last was lost.
+func (record *record) completed() bool { return record.completedAt.After(record.last()) }
+
 // pardoned reports whether a target has completed the request after it was refused for
 // the longest pause.
 func (record *record) pardoned() bool {
@@ -205,12 +208,33 @@
 // explained reports whether enough targets that were not running the request were lost
 // at about the given time.
 func (list *List) explained(record *record, at time.Time) bool {
+	return len(list.others(record, at)) >= explainingTargets
+}
+
+// others returns the losses at about the given time of targets that were not running the
+// request, of each target one.
+func (list *List) others(record *record, at time.Time) (others []loss) {
 	own := around(record.losses, at)
-	count := 0
-	for _, loss := range around(list.losses, at) {
-		if !slices.ContainsFunc(own, loss.same) {
-			count++
+	for _, other := range around(list.losses, at) {
+		sameTarget := func(loss loss) bool { return loss.target == other.target }
+		if !slices.ContainsFunc(own, other.same) && !slices.ContainsFunc(others, sameTarget) {
+			others = append(others, other)
+		}
+	}
+	return others
+}
+
+// explaining returns the losses of others that explain those of the request, as few as
+// suffice for each. The mutex must be held.
+func (list *List) explaining(record *record) (explaining []loss) {
+	for _, loss := range record.losses {
+		others := list.others(record, loss.at)
+		if len(others) < explainingTargets {
+			continue
+		}
+		for _, other := range others[:explainingTargets] {
+			explaining, _ = insert(explaining, other)
 		}
 	}
-	return count >= explainingTargets
+	return explaining
 }
