route/blame: other gateways get the losses that explain a request's own

What callers saw: a sound request in flight on two targets of a rack that went down is on trial at the gateways that saw the rack go, and refused for 5 s, or for ten minutes after another such loss, at a gateway that started since or whose owner of the trial had missed it.

Cause: regular messages and inquiries carried the strikes of a request without the losses of other targets that explain them (gate/gossip strikes_test: 2 lost, 1 unexplained instead of 0, fleets of 4 and 60; route/blame quarantine_test: no trial permitted; all three failed before). Of many requests single strikes were drawn, so that one could be judged by a part.

Ruled out: sending all losses of the last hour, which are many and mostly explain nothing.

Change: the evidence of a request (at most two losses of others for each of its own, its strikes, its completion) is sent whole. A target counts once among the losses that explain one. Inquiries are made up only for trials.

--- a/internal/gate/gossip/strikes_test.go
+++ b/internal/gate/gossip/strikes_test.go
@@ -53,6 +53,26 @@
 			expectBarred(fleet.gateways[1])
 		})
 	}
+	for _, count := range []int{4, 60} {
+		ginkgo.It(fmt.Sprintf("don't bar a sound request that was lost with a rack at a gateway that starts after it, in a fleet of %d", count), func() {
+			fleet := playFleet(count)
+			fleet.play(2 * time.Second)
+			for i, call := range []*agatestage.Call{{Fingerprint: harmful}, {Fingerprint: harmful}, {Batch: true}, {Fingerprint: harmful + 1}} {
+				first := fleet.gateways[i%2]
+				first.mesh.BroadcastStrike(first.source.list.Charge(call, fmt.Sprint("rack-", i)))
+			}
+			fleet.play(3 * time.Second)
+			fleet.stop(fleet.gateways[2])
+			fleet.play(3 * time.Second)
+			fleet.gateways[2] = fleet.start(2, 2)
+			fleet.play(3 * time.Second)
+			for _, gateway := range fleet.gateways {
+				gomega.Expect(gateway.source.list.Refuse(harmful)).To(gomega.Succeed(), gateway.name)
+				lost, unexplained := gateway.source.list.Counts(harmful)
+				gomega.Expect([]int{lost, unexplained}).To(gomega.Equal([]int{2, 0}), gateway.name)
+			}
+		})
+	}
 	ginkgo.It("are followed by its completion wherever they come", func() {
 		fleet := playFleet(4)
 		fleet.play(2 * time.Second)
--- a/internal/gate/gossip/trial.go
+++ b/internal/gate/gossip/trial.go
@@ -28,7 +28,7 @@
 			mesh.BroadcastStrike(blame.Strike{Released: inquiry.Fingerprint, Call: inquiry.Call})
 		}
 	}
-	klog.InfoS("trial of a request in quarantine", "body", blame.Name(inquiry.Fingerprint), "lost", len(inquiry.Strikes), "permitted", permitted, "owner", owner.Name, "error", err)
+	klog.InfoS("trial of a request in quarantine", "body", blame.Name(inquiry.Fingerprint), "evidence", len(inquiry.Strikes), "permitted", permitted, "owner", owner.Name, "error", err)
 	return permitted && err == nil
 }
 
--- a/internal/route/blame/blame.go
+++ b/internal/route/blame/blame.go
@@ -255,37 +255,46 @@
 	return losses[first:after]
 }
 
-// strikes returns the strikes of the request with the fingerprint, as they are forwarded.
-func (record *record) strikes(fingerprint uint64, now time.Time) (strikes []Strike) {
+// evidence returns what another process needs to judge the request with the fingerprint as
+// this one does: the losses of others that explain those of the request, its strikes, and
+// its completion. The mutex must be held.
+func (list *List) evidence(fingerprint uint64, record *record) (strikes []Strike) {
+	now := list.clock.Now()
+	for _, loss := range list.explaining(record) {
+		strikes = append(strikes, Strike{Target: loss.target, Age: now.Sub(loss.at)})
+	}
 	for _, loss := range record.losses {
 		strikes = append(strikes, Strike{Fingerprint: fingerprint, Target: loss.target, Age: now.Sub(loss.at), Trial: loss.trial})
 	}
+	if !record.completedAt.IsZero() {
+		strikes = append(strikes, Strike{Completed: fingerprint, Age: now.Sub(record.completedAt)})
+	}
 	return strikes
 }
 
 // maxKnown bounds what Known returns at a time, and so the bytes that are sent of it.
 const maxKnown = 16
 
-// Known returns the strikes and completions of the requests that are or were in
-// quarantine, for others that may have missed them; of many, some that are drawn anew each
-// time.
+// Known returns the evidence of the requests that are or were in quarantine, for others
+// that may have missed it; of many requests, some that are drawn anew each time.
 func (list *List) Known() (known []Strike) {
 	list.mutex.Lock()
 	defer list.mutex.Unlock()
-	now := list.clock.Now()
-	list.expire(now)
+	list.expire(list.clock.Now())
+	var fingerprints []uint64
 	for fingerprint, record := range list.records {
-		if len(record.losses) < quarantineLosses {
-			continue
-		}
-		known = append(known, record.strikes(fingerprint, now)...)
-		if !record.completedAt.IsZero() {
-			known = append(known, Strike{Completed: fingerprint, Age: now.Sub(record.completedAt)})
+		if len(record.losses) >= quarantineLosses {
+			fingerprints = append(fingerprints, fingerprint)
 		}
 	}
-	if len(known) > maxKnown {
-		rand.Shuffle(len(known), func(i, j int) { known[i], known[j] = known[j], known[i] })
-		known = known[:maxKnown]
+	rand.Shuffle(len(fingerprints), func(i, j int) { fingerprints[i], fingerprints[j] = fingerprints[j], fingerprints[i] })
+	for _, fingerprint := range fingerprints {
+		// A request of which only a part were sent would be judged by that part.
+		evidence := list.evidence(fingerprint, list.records[fingerprint])
+		if len(known) > 0 && len(known)+len(evidence) > maxKnown {
+			break
+		}
+		known = append(known, evidence[max(0, len(evidence)-maxKnown):]...)
 	}
 	return known
 }
--- a/internal/route/blame/quarantine.go
+++ b/internal/route/blame/quarantine.go
@@ -39,7 +39,7 @@
 	Fingerprint uint64
 	// Call is the ID of the call that is to run.
 	Call string
-	// Strikes holds those that the inquirer knows of.
+	// Strikes holds the evidence that the inquirer has.
 	Strikes []Strike
 }
 
@@ -86,11 +86,12 @@
 	call.Suspect = list.Suspect(fingerprint)
 	list.mutex.Lock()
 	onTrial, err := list.check(fingerprint)
-	permit, inquiry := list.permit, list.inquiry(call)
-	list.mutex.Unlock()
 	if err != nil || !onTrial || call.Trial {
+		list.mutex.Unlock()
 		return err
 	}
+	permit, inquiry := list.permit, list.inquiry(call)
+	list.mutex.Unlock()
 	if call.Trial = permit(ctx, inquiry); call.Trial {
 		return nil
 	}
@@ -129,7 +130,7 @@
 func (list *List) inquiry(call *agatestage.Call) Inquiry {
 	inquiry := Inquiry{Fingerprint: blamed(call), Call: call.ID}
 	if record := list.records[inquiry.Fingerprint]; record != nil {
-		inquiry.Strikes = record.strikes(inquiry.Fingerprint, list.clock.Now())
+		inquiry.Strikes = list.evidence(inquiry.Fingerprint, record)
 	}
 	return inquiry
 }
@@ -211,14 +212,16 @@
 	return len(list.others(record, at)) >= explainingTargets
 }
 
-// others returns the losses at about the given time of targets that were not running the
-// request, of each target one.
+// others returns losses at about the given time of targets that were not running the
+// request, of each target one, up to as many as explain its own.
 func (list *List) others(record *record, at time.Time) (others []loss) {
 	own := around(record.losses, at)
 	for _, other := range around(list.losses, at) {
 		sameTarget := func(loss loss) bool { return loss.target == other.target }
 		if !slices.ContainsFunc(own, other.same) && !slices.ContainsFunc(others, sameTarget) {
-			others = append(others, other)
+			if others = append(others, other); len(others) == explainingTargets {
+				break
+			}
 		}
 	}
 	return others
@@ -232,7 +235,7 @@
 		if len(others) < explainingTargets {
 			continue
 		}
-		for _, other := range others[:explainingTargets] {
+		for _, other := range others {
 			explaining, _ = insert(explaining, other)
 		}
 	}
--- a/internal/route/blame/quarantine_test.go
+++ b/internal/route/blame/quarantine_test.go
@@ -279,3 +279,15 @@
 	expect.Expect(inquirer.Admit(context.Background(), &agatestage.Call{Fingerprint: 1})).To(gomega.Succeed())
 	expect.Expect(inquirer.Admit(context.Background(), &agatestage.Call{Fingerprint: 1})).NotTo(gomega.Succeed())
 }
+
+func TestOwnerThatMissedTheLossesOfARackPermitsATrial(t *testing.T) {
+	expect := gomega.NewWithT(t)
+	owner, clock := newList()
+	inquirer := New(clock)
+	inquirer.SetPermit(func(_ context.Context, inquiry Inquiry) bool { return owner.PermitTrial(inquiry) })
+	for _, target := range []string{"a", "b"} {
+		inquirer.Add(Strike{Fingerprint: 1, Target: target})
+		inquirer.Add(Strike{Target: "other-" + target})
+	}
+	expect.Expect(inquirer.Admit(context.Background(), &agatestage.Call{Fingerprint: 1})).To(gomega.Succeed())
+}
