gate/relay, base/budget: memory of answers without an end is bounded over all calls

What callers saw (reported by other operators): a machine that calls a faulty target runs out of memory, and the requests of others on it end with it.

Cause: each call kept up to 4 MB of an answer, grown by copies, or 1 MB of an event, copied anew with each 4 KB that came; nothing bounded the sum over calls, and a stated length beyond the bound was read up to the bound.

Ruled out: a smaller bound for each call (it would refuse sound answers); reserving the whole bound for each answer (five slow ones hold up all others); a share that grows without an order (answers that wait for one another for ever).

Change: answers share 16 MB beyond their first 4 KB. One that finds nothing left waits until it is the only one that exceeds them, and then grows up to its own bound; its target waits, too. Bodies are kept in pieces, and the buffer of events is no longer copied with each read. A stated length beyond the bound fails the call at once, where it lasted until the deadline before.

--- a/internal/gate/relay/attempt.go
+++ b/internal/gate/relay/attempt.go
@@ -149,12 +149,16 @@
 
 // complete reads a response to its end before forwarding any of it.
 func (run *run) complete(ctx context.Context, response *conns.TargetResponse, watchdog *watchdog) outcome {
-	body, err := io.ReadAll(io.LimitReader(response, maxResponseBytes+1))
-	if err == nil && len(body) > maxResponseBytes {
-		err = errors.Errorf("the answer is larger than %d bytes", maxResponseBytes)
+	body, err := run.readBody(ctx, response)
+	if errors.Is(err, errResponseTooLarge) {
+		end := broken(agatestage.CodeTargetFailed, err.Error())
+		end.failed = true
+		return end
 	}
 	if err == nil {
-		err = run.checkEnd(ctx, response, watchdog.reservation.Target)
+		if err = run.checkEnd(ctx, response, watchdog.reservation.Target); err != nil {
+			body.release()
+		}
 	}
 	if err != nil {
 		return run.interrupted(ctx, watchdog, err)
@@ -171,6 +175,7 @@
 		end.failed, end.buffered = true, complete
 		return end
 	}
+	defer complete.release()
 	if run.result.ResponseStarted {
 		// The stream was to be resumed, but the response is not a stream.
 		return broken(agatestage.CodeTargetFailed, "the target answered a resumed stream with status "+http.StatusText(response.Status))
@@ -193,10 +198,23 @@
 func (run *run) forwardStream(ctx context.Context, response *conns.TargetResponse, watchdog *watchdog) outcome {
 	scanner := newScanner(run.plan.Resumable, run.result.LastEventID)
 	buffer := make([]byte, readChunkBytes)
+	hold := run.memory.Hold()
+	defer hold.Release()
+	held := freeBytes
 	for {
 		n, readErr := response.Read(buffer)
 		if n > 0 {
 			before := scanner.events
+			if held > freeBytes && scanner.size() == 0 {
+				hold.Release()
+				held = freeBytes
+			}
+			// The scanner's buffer doubles when it grows.
+			for ; held < 2*scanner.size(); held += pieceBytes {
+				if err := hold.Grow(ctx, pieceBytes); err != nil {
+					return run.interrupted(ctx, watchdog, err)
+				}
+			}
 			ready, err := scanner.add(buffer[:n])
 			if scanner.events > before {
 				// Only whole events are progress: a stalled target may send comments or
--- a/internal/gate/relay/events.go
+++ b/internal/gate/relay/events.go
@@ -19,7 +19,9 @@
 // or no event has one.
 type scanner struct {
 	resumable bool
-	pending   []byte
+	// pending holds what has come, beginning with the whole events that add has returned.
+	pending []byte
+	whole   int
 	// lineStart is where the first incomplete line begins in pending.
 	lineStart int
 	event     event
@@ -45,29 +47,47 @@
 // add takes bytes of the stream and returns the whole events to forward, also those
 // before an error. They are valid until the next call.
 func (scanner *scanner) add(data []byte) (events []byte, err error) {
+	scanner.drop()
+	searched := len(scanner.pending)
 	scanner.pending = append(scanner.pending, data...)
-	all, whole := scanner.pending, 0
 	for err == nil {
-		end := bytes.IndexByte(all[scanner.lineStart:], '\n')
+		end := bytes.IndexByte(scanner.pending[max(scanner.lineStart, searched):], '\n')
 		if end < 0 {
 			break
 		}
-		line := bytes.TrimSuffix(all[scanner.lineStart:scanner.lineStart+end], []byte("\r"))
-		scanner.lineStart += end + 1
+		end += max(scanner.lineStart, searched)
+		line := bytes.TrimSuffix(scanner.pending[scanner.lineStart:end], []byte("\r"))
+		scanner.lineStart = end + 1
 		if len(line) > 0 {
 			err = scanner.event.addLine(line)
 		} else if err = scanner.finishEvent(); err == nil {
-			whole = scanner.lineStart
+			scanner.whole = scanner.lineStart
 		}
 	}
-	if err == nil && len(all)-whole > maxEventBytes {
+	if err == nil && scanner.size() > maxEventBytes {
 		err = errors.Errorf("an event is larger than %d bytes", maxEventBytes)
 	}
-	scanner.pending = append([]byte(nil), all[whole:]...)
-	scanner.lineStart -= whole
-	return all[:whole], err
+	return scanner.pending[:scanner.whole], err
 }
 
+// drop removes the whole events, and the buffer with them if it is large.
+func (scanner *scanner) drop() {
+	if scanner.whole == 0 {
+		return
+	}
+	rest := scanner.pending[scanner.whole:]
+	if cap(scanner.pending) > pieceBytes {
+		scanner.pending = append([]byte(nil), rest...)
+	} else {
+		scanner.pending = scanner.pending[:copy(scanner.pending, rest)]
+	}
+	scanner.lineStart -= scanner.whole
+	scanner.whole = 0
+}
+
+// size returns how many bytes of an event that isn't whole have come.
+func (scanner *scanner) size() int { return len(scanner.pending) - scanner.whole }
+
 // addLine adds a line, which is a comment or a field.
 func (event *event) addLine(line []byte) error {
 	name, value, ok := bytes.Cut(line, []byte(":"))
@@ -118,5 +138,5 @@
 
 // partial reports whether the stream ends within an event.
 func (scanner *scanner) partial() bool {
-	return len(bytes.TrimSpace(scanner.pending)) > 0
+	return len(bytes.TrimSpace(scanner.pending[scanner.whole:])) > 0
 }
--- a/internal/gate/relay/relay.go
+++ b/internal/gate/relay/relay.go
@@ -24,6 +24,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/agatestage/agatestage"
+	"github.com/agatestage/agatestage/internal/base/budget"
 	"github.com/agatestage/agatestage/internal/gate/conns"
 	"github.com/agatestage/agatestage/internal/gate/sched"
 	"github.com/agatestage/agatestage/internal/route/blame"
@@ -34,8 +35,11 @@
 	// silent, before the call is refused. Those that are gone don't count: no call tries
 	// them again.
 	maxRejections = 4
-	// maxResponseBytes bounds a response that is buffered until it is complete.
+	// maxResponseBytes bounds a response that is buffered until it is complete, and
+	// keptBytes all that is kept of responses at a time beyond that of one, in a process. The
+	// smallest gateways have 184 MB.
 	maxResponseBytes = 4 << 20
+	keptBytes        = 16 << 20
 	// minRemaining is the remaining time below which an attempt is not sent: a
 	// round trip between regions.
 	minRemaining = 60 * time.Millisecond
@@ -115,6 +119,9 @@
 	blame   *blame.List
 	strike  func(blame.Strike)
 
+	// memory bounds what is kept of responses.
+	memory *budget.Budget
+
 	abandoned abandonedCalls
 }
 
@@ -130,7 +137,9 @@
 // New returns a relay that places calls with the scheduler and sends them over the
 // pool's connections.
 func New(clock agatestage.Clock, scheduler *sched.Scheduler, pool *conns.Pool, dialect agatestage.Dialect, list *blame.List, options ...Option) *Relay {
-	relay := &Relay{clock: clock, sched: scheduler, conns: pool, dialect: dialect, blame: list, strike: func(blame.Strike) {}}
+	relay := &Relay{
+		clock: clock, sched: scheduler, conns: pool, dialect: dialect, blame: list, strike: func(blame.Strike) {}, memory: budget.New(keptBytes),
+	}
 	for _, option := range options {
 		option(relay)
 	}
@@ -165,7 +174,7 @@
 type buffered struct {
 	status int
 	header http.Header
-	body   []byte
+	body
 }
 
 // run is the state of a call that is being served.
@@ -207,6 +216,7 @@
 		if !run.trialRan {
 			run.releaseTrial()
 		}
+		run.setLastFailure(nil)
 	}()
 	for {
 		reservation, err := run.admit(ctx)
@@ -245,7 +255,7 @@
 			run.exclude = append(run.exclude, reservation.Target.ID)
 		}
 		if end.buffered != nil {
-			run.lastFailure = end.buffered
+			run.setLastFailure(end.buffered)
 		}
 		klog.InfoS("attempt failed", "call", run.call.ID, "target", reservation.Target.ID, "notRun", end.notRun, "dropped", end.dropped, "reason", end.refusal.Message)
 		if !run.mayRetry(ctx, end) {
@@ -364,14 +374,24 @@
 	run.result.Refusal = &final
 }
 
+// setLastFailure keeps an error response instead of the one before.
+func (run *run) setLastFailure(response *buffered) {
+	if run.lastFailure != nil {
+		run.lastFailure.release()
+	}
+	run.lastFailure = response
+}
+
 // writeBuffered writes a complete response to the sink.
 func (run *run) writeBuffered(response *buffered) *agatestage.Refusal {
 	run.result.ResponseStarted, run.result.Status, run.result.FirstEventAt = true, response.status, run.clock.Now()
-	if err := run.sink.Head(response.status, response.header, len(response.body)); err != nil {
+	if err := run.sink.Head(response.status, response.header, response.size); err != nil {
 		return callerGone(err)
 	}
-	if err := run.sink.Data(response.body); err != nil {
-		return callerGone(err)
+	for _, piece := range response.pieces {
+		if err := run.sink.Data(piece); err != nil {
+			return callerGone(err)
+		}
 	}
 	return nil
 }
