gate/batch, gate/relay: an item's events are bounded, and run again from the beginning beyond that

What callers could see: a faulty target that sends an item events without end fills its gateway's memory until the run ends after a minute; what came of it then was taken as part of the item's output, and an output of more than 1 MB is a record that the store refuses, so that no result of the job behind it is ever listed.

Cause: nothing bounded the events of an item. Ruled out: to fail the item, which another target may well complete; to keep the events up to the bound, of which none can be trusted.

Change: 700 KB, as much as a record holds; beyond it the target counts as failing and the item runs again from its beginning. Events of items beyond 64 KB count in the memory that answers share.

--- a/internal/gate/batch/collector.go
+++ b/internal/gate/batch/collector.go
@@ -33,6 +33,22 @@
 	return collector.number, collector.eventData[:len(collector.eventData):len(collector.eventData)]
 }
 
+// size returns the size of the data of all events in bytes.
+func (collector *collector) size() (size int) {
+	_, eventData := collector.snapshot()
+	for _, data := range eventData {
+		size += len(data) + 1
+	}
+	return size
+}
+
+// reset removes all events, so that the item runs from its beginning.
+func (collector *collector) reset() {
+	collector.mutex.Lock()
+	defer collector.mutex.Unlock()
+	collector.eventData, collector.number = nil, 0
+}
+
 // Head implements relay.Sink.
 func (collector *collector) Head(status int, _ http.Header, _ int) error {
 	collector.mutex.Lock()
--- a/internal/gate/batch/progress.go
+++ b/internal/gate/batch/progress.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
+	"k8s.io/klog/v2"
 )
 
 // Progress is the partial output of an unfinished item: the data of its events up to
@@ -55,6 +56,17 @@
 	job.wakeCommitter()
 }
 
+// restart removes all events of an item, also from the written progress: the target that
+// sends more than an item's output may have may never end, and none of it can be trusted.
+func (job *job) restart(item *Item, sink *collector) {
+	klog.InfoS("item runs from its beginning", "job", job.head.ID, "item", item.ID, "events", sink.lastEvent())
+	sink.reset()
+	job.mutex.Lock()
+	defer job.mutex.Unlock()
+	job.progressDirty = true
+	job.wakeCommitter()
+}
+
 // progress returns the progress of unfinished items.
 func (job *job) progress() []Progress {
 	job.mutex.Lock()
--- a/internal/gate/batch/run.go
+++ b/internal/gate/batch/run.go
@@ -42,6 +42,8 @@
 	// maxRetryShift is the number of failed or incomplete runs after which the delay is
 	// maxRetryDelay.
 	maxRetryShift = 4
+	// maxOutputBytes bounds the events of an item, whose output must fit into a record.
+	maxOutputBytes = maxRecordBytes
 	// clockSkewMargin is how much later than GiveUp an item is given up, as hosts'
 	// clocks differ by seconds.
 	clockSkewMargin = 4 * time.Second
@@ -79,6 +81,9 @@
 		if ctx.Err() != nil {
 			return
 		}
+		if result.Refusal != nil && result.Refusal.Code == agatestage.CodeTooLarge {
+			job.restart(item, sink)
+		}
 		if itemResult, ok := job.evaluateRun(item, route, sink, &result, &stats); ok {
 			job.addResult(itemResult)
 			return
@@ -116,6 +121,7 @@
 	return job.manager.runner.Serve(ctx, call, relay.Plan{
 		Service: call.Service, Repeatable: true, Attempts: 1, Stream: true, Resumable: true, Batch: true,
 		Aim: firstEventTimeout, Gap: gap, Deadline: now.Add(runTimeout), Due: job.head.Due, ExpectedDuration: job.manager.estimateSlotTime(after), ResumeAfter: after,
+		MaxBytes: max(1, maxOutputBytes-sink.size()),
 	}, sink)
 }
 
--- a/internal/gate/batch/stream_test.go
+++ b/internal/gate/batch/stream_test.go
@@ -227,6 +227,20 @@
 			gomega.Expect(string(result.Output)).To(gomega.Equal(wholeOutput), item)
 		}
 	})
+	ginkgo.It("has no event of a stream that is larger than a record, which is run again from its beginning", func() {
+		text := new(strings.Builder)
+		for number := range 1 << 16 {
+			text.WriteString(series(number+1, number+1))
+		}
+		endless := func(int) string {
+			return "HTTP/1.1 200 OK\r\nMark: yes\r\nContent-Type: text/event-stream\r\nContent-Length: 999999999\r\n\r\n" + text.String()
+		}
+		rest := func(after int) string { return eventStream(series(after+1, lastNumber)) }
+		result := runItems(map[string][]func(after int) string{"item": {endless, rest}})["item"]
+		gomega.Expect(result.Failed).To(gomega.BeFalse())
+		gomega.Expect(len(result.Output)).To(gomega.Equal(len(wholeOutput)))
+		gomega.Expect(string(result.Output)).To(gomega.Equal(wholeOutput))
+	})
 	ginkgo.It("contains all lines of an event's data", func() {
 		result := runItems(map[string][]func(after int) string{"item": {func(int) string {
 			return eventStream("id: 1\ndata: a\ndata: b\n\ndata: c\nid: 2\n\n")
--- a/internal/gate/relay/attempt.go
+++ b/internal/gate/relay/attempt.go
@@ -198,22 +198,17 @@
 func (run *run) forwardStream(ctx context.Context, response *conns.TargetResponse, watchdog *watchdog) outcome {
 	scanner := newScanner(run.plan.Resumable, run.result.LastEventID)
 	buffer := make([]byte, readChunkBytes)
-	hold := run.memory.Hold()
-	defer hold.Release()
-	held := freeBytes
+	share := run.newShare()
+	defer share.hold.Release()
+	// kept is how much of the stream stays in memory behind the scanner.
+	kept := 0
 	for {
 		n, readErr := response.Read(buffer)
 		if n > 0 {
 			before := scanner.events
-			if held > freeBytes && scanner.size() == 0 {
-				hold.Release()
-				held = freeBytes
-			}
 			// The scanner's buffer doubles when it grows.
-			for ; held < 2*scanner.size(); held += pieceBytes {
-				if err := hold.Grow(ctx, pieceBytes); err != nil {
-					return run.interrupted(ctx, watchdog, err)
-				}
+			if err := share.resize(ctx, 2*scanner.size()+kept); err != nil {
+				return run.interrupted(ctx, watchdog, err)
 			}
 			ready, err := scanner.add(buffer[:n])
 			if scanner.events > before {
@@ -231,6 +226,14 @@
 				end.failed = true
 				return end
 			}
+			if run.plan.Batch {
+				kept += len(ready)
+			}
+			if run.plan.MaxBytes > 0 && kept > run.plan.MaxBytes {
+				end := broken(agatestage.CodeTooLarge, "the events are larger than the item's output may be")
+				end.done, end.failed = true, true
+				return end
+			}
 		}
 		if readErr == io.EOF {
 			return run.finishStream(ctx, response, scanner, watchdog)
--- a/internal/gate/relay/body.go
+++ b/internal/gate/relay/body.go
@@ -14,12 +14,45 @@
 	// freeBytes is what each response may keep without a share of the memory that all have
 	// in common: most are smaller.
 	freeBytes = 4 << 10
+	// freeItemBytes is the same for the events of an item, which are kept until its end.
+	freeItemBytes = 64 << 10
 	// pieceBytes is how much of a larger response is read at a time.
 	pieceBytes = 64 << 10
 )
 
 var errResponseTooLarge = errors.Errorf("the answer is larger than %d bytes", maxResponseBytes)
 
+// share is the part of the memory that a stream holds.
+type share struct {
+	hold  *budget.Hold
+	free  int
+	bytes int
+}
+
+func (run *run) newShare() *share {
+	share := &share{hold: run.memory.Hold(), free: freeBytes}
+	if run.plan.Batch {
+		share.free = freeItemBytes
+	}
+	return share
+}
+
+// resize sets how many bytes the stream keeps. If the memory for them is taken, it waits, and
+// the target with it.
+func (share *share) resize(ctx context.Context, bytes int) error {
+	if bytes <= share.free {
+		share.hold.Release()
+		share.bytes = 0
+		return nil
+	}
+	for ; share.bytes < bytes; share.bytes += pieceBytes {
+		if err := share.hold.Grow(ctx, pieceBytes); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // body is the whole body of a response, in pieces: growing one buffer would copy it, and
 // leave the copies to the garbage collector.
 type body struct {
--- a/internal/gate/relay/relay.go
+++ b/internal/gate/relay/relay.go
@@ -72,6 +72,9 @@
 	// hold its slot.
 	Due              time.Time
 	ExpectedDuration time.Duration
+	// MaxBytes bounds the events of a batch call; zero means no limit. A call that exceeds it
+	// ends with CodeTooLarge.
+	MaxBytes int
 	// ResumeAfter is the number of the last event that the caller already has; the
 	// stream continues after it.
 	ResumeAfter int64
