side/claim, side/exec: answers of items without an end are bounded, and count as run

What callers could see: an item whose target answers without end was never answered. Its side kept 16 MB of it for each slot, sent them to the entry, and said that the item had not run; the entry gave it out again, without a bound on its attempts.

Cause: a refusal says 'not run' unless told otherwise, the body of a failed attempt was part of its result, and nothing bounded the answers of all slots together.

Ruled out: a smaller bound for each answer, which would refuse sound ones.

Change: the refusal says that it may have run, so that it counts as an attempt; a failed attempt has no body; the answers that a side keeps share 16 MB beyond that of one. A sink of a side may wait until its run ends, so that an item that waits for memory still gives way to an online call.

--- a/internal/side/claim/claim.go
+++ b/internal/side/claim/claim.go
@@ -19,6 +19,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/agatestage/agatestage"
+	"github.com/agatestage/agatestage/internal/base/budget"
 	"github.com/agatestage/agatestage/internal/base/ticks"
 	"github.com/agatestage/agatestage/internal/side/exec"
 	"github.com/agatestage/agatestage/internal/side/state"
@@ -41,6 +42,15 @@
 	pollPeriod = 100 * time.Millisecond
 	// maxAnswerBytes bounds the answer to one item, in bytes.
 	maxAnswerBytes = 16 << 20
+	// keptBytes bounds what is kept of all answers to items at a time beyond that of one, and
+	// freeBytes what each may keep besides.
+	keptBytes = 16 << 20
+	freeBytes = 64 << 10
+	// growBytes is how much memory an answer asks for at a time.
+	growBytes = 64 << 10
+	// copies is how often an answer is in memory: its buffer doubles when it grows, and its
+	// result is encoded.
+	copies = 3
 )
 
 // Puller claims and runs batch items for one target.
@@ -49,6 +59,7 @@
 	region  string
 	node    *link.Node
 	clock   agatestage.Clock
+	memory  *budget.Budget
 	mutex   sync.Mutex
 	sources map[string]*source
 	// held is the number of items received and not finished, offered the credit
@@ -78,10 +89,13 @@
 }
 
 // New returns a puller for a target in a region.
-func New(target *state.Target, region string, node *link.Node, clock agatestage.Clock) *Puller {
-	return &Puller{target: target, region: region, node: node, clock: clock, sources: make(map[string]*source), wake: make(chan struct{}, 1)}
+func New(target *state.Target, region string, node *link.Node, clock agatestage.Clock, memory *budget.Budget) *Puller {
+	return &Puller{target: target, region: region, node: node, clock: clock, memory: memory, sources: make(map[string]*source), wake: make(chan struct{}, 1)}
 }
 
+// NewMemory returns the memory for the answers to items that the pullers of a side share.
+func NewMemory() *budget.Budget { return budget.New(keptBytes) }
+
 // String names the service in logs.
 func (puller *Puller) String() string {
 	return "batch claims of " + puller.target.Name
@@ -301,7 +315,9 @@
 	puller.mutex.Unlock()
 	puller.items.Go(func() {
 		defer cancel()
-		result := puller.run(ctx, item)
+		answer := &collector{hold: puller.memory.Hold()}
+		defer answer.hold.Release()
+		result := puller.run(ctx, item, answer)
 		puller.mutex.Lock()
 		puller.held--
 		delete(entry.items, item.Ref)
@@ -325,19 +341,22 @@
 }
 
 // run runs an item, retrying for up to maxSlotWait while no slot is free.
-func (puller *Puller) run(ctx context.Context, item calls.BatchItem) calls.ItemResult {
+func (puller *Puller) run(ctx context.Context, item calls.BatchItem, answer *collector) calls.ItemResult {
 	result := calls.ItemResult{Ref: item.Ref, Target: puller.target.Name}
 	began := puller.clock.Now()
 	for {
-		sink := &collector{}
-		end := exec.Run(ctx, puller.target, &item.Call, sink)
+		end := exec.Run(ctx, puller.target, &item.Call, answer)
 		if foundNoSlot(end) && puller.clock.Since(began) < maxSlotWait && ctx.Err() == nil && !puller.isStopping() {
 			ticks.Wait(ctx, puller.clock, slotRetryPause)
 			continue
 		}
 		result.Took = puller.clock.Since(began)
-		result.Status, result.Body = sink.status, sink.body
 		result.Refusal, result.TargetLost = end.Refusal, end.TargetLost
+		if end.Refusal == nil {
+			result.Status, result.Body = answer.status, answer.body
+		} else {
+			answer.drop()
+		}
 		result.Returned = ctx.Err() != nil || mustReturn(end)
 		return result
 	}
@@ -367,6 +386,9 @@
 type collector struct {
 	status int
 	body   []byte
+	// hold is the memory for the body, held how much of it there is.
+	hold *budget.Hold
+	held int
 }
 
 // Head implements exec.Sink.
@@ -375,11 +397,26 @@
 	return nil
 }
 
-// Data implements exec.Sink.
-func (collector *collector) Data(data []byte) error {
-	if len(collector.body)+len(data) > maxAnswerBytes {
-		return agatestage.Refuse(agatestage.CodeTooLarge, "the target's answer is larger than %d bytes", maxAnswerBytes)
+// Data implements exec.Sink. If the memory for the data is taken, it waits, and the target
+// with it.
+func (collector *collector) Data(ctx context.Context, data []byte) error {
+	size := len(collector.body) + len(data)
+	if size > maxAnswerBytes {
+		refusal := agatestage.Refuse(agatestage.CodeTooLarge, "the target's answer is larger than %d bytes", maxAnswerBytes)
+		refusal.Ran = agatestage.RanUnknown
+		return refusal
+	}
+	for ; size > freeBytes && collector.held < copies*size; collector.held += growBytes {
+		if err := collector.hold.Grow(ctx, growBytes); err != nil {
+			return err
+		}
 	}
 	collector.body = append(collector.body, data...)
 	return nil
 }
+
+// drop gives up an answer that isn't complete.
+func (collector *collector) drop() {
+	collector.hold.Release()
+	collector.body, collector.held = nil, 0
+}
--- a/internal/side/exec/exec.go
+++ b/internal/side/exec/exec.go
@@ -26,10 +26,10 @@
 var buffers = sync.Pool{New: func() any { return new([chunkSize]byte) }}
 
 // Sink receives an answer. Head is called once, before any Data; the data is valid
-// only during the call.
+// only during the call. Data may wait until the run's ctx ends.
 type Sink interface {
 	Head(status int, header http.Header) error
-	Data(data []byte) error
+	Data(ctx context.Context, data []byte) error
 }
 
 // runner runs one call on a target.
@@ -113,7 +113,7 @@
 	for {
 		n, readErr := answer.Body.Read(buffer)
 		if n > 0 {
-			if err = runner.sink.Data(buffer[:n]); err != nil {
+			if err = runner.sink.Data(ctx, buffer[:n]); err != nil {
 				return err
 			}
 		}
--- a/internal/side/exec/exec_test.go
+++ b/internal/side/exec/exec_test.go
@@ -29,8 +29,8 @@
 // sink drops an answer.
 type sink struct{}
 
-func (sink) Head(int, http.Header) error { return nil }
-func (sink) Data([]byte) error           { return nil }
+func (sink) Head(int, http.Header) error        { return nil }
+func (sink) Data(context.Context, []byte) error { return nil }
 
 // fixture is a target that breaks off its answers to calls, and a client of it.
 type fixture struct {
--- a/internal/side/exec/unframed_test.go
+++ b/internal/side/exec/unframed_test.go
@@ -34,7 +34,7 @@
 
 func (*textSink) Head(int, http.Header) error { return nil }
 
-func (textSink *textSink) Data(data []byte) error {
+func (textSink *textSink) Data(_ context.Context, data []byte) error {
 	textSink.text += string(data)
 	return nil
 }
--- a/internal/side/serve/server.go
+++ b/internal/side/serve/server.go
@@ -175,6 +175,6 @@
 }
 
 // Data implements exec.Sink.
-func (linkSink *linkSink) Data(data []byte) error {
+func (linkSink *linkSink) Data(_ context.Context, data []byte) error {
 	return linkSink.stream.Send(calls.AnswerPart{Data: data})
 }
--- a/internal/side/start/start.go
+++ b/internal/side/start/start.go
@@ -74,9 +74,10 @@
 	}
 	side := &Side{Node: node, Server: server, tree: super.New("side"), metricsListener: listener, drainLimits: settings.Drain}
 	side.http = &http.Server{Handler: side.handler()}
+	memory := claim.NewMemory()
 	for _, target := range server.Targets() {
 		if target.Kind == agatestage.KindEngine {
-			side.pullers = append(side.pullers, claim.New(target, settings.Region, node, clock))
+			side.pullers = append(side.pullers, claim.New(target, settings.Region, node, clock, memory))
 			side.reconcilers = append(side.reconcilers, order.New(target, node, clock))
 		}
 	}
