test/whole: answers without an end leave entries and sides bounded

Reported by other operators; looked for on the path of entries and sides. It can't happen there with online calls: a side passes an answer on by 32 KB at a time, and flow control holds its target up if the caller doesn't read.

--- a/test/whole/broken_test.go
+++ b/test/whole/broken_test.go
@@ -58,6 +58,9 @@
 			}
 		}
 	}
+	for path, head := range endlessAnswers {
+		target.answers[path] = endless(head)
+	}
 	for _, status := range oddStatuses {
 		target.answers["/status-"+status] = write("HTTP/1.1 " + status + " X\r\nContent-Length: 4\r\n\r\ntext")
 	}
