route/blame: processes that save at the same moment give way to one another

Read, not seen: when a rack goes down, many gateways may have requests to save in the one record, and each write that succeeds makes those that have read before it fail. They read again at once, which is a call for each of them and each write. They wait up to 300 ms now, at random, in which most find that there is nothing left to write. Sixty processes with four requests between them: 2 x 5 calls each at most, which the test holds.

--- a/internal/route/blame/archive.go
+++ b/internal/route/blame/archive.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -28,6 +29,9 @@
 	checkDelay = 2 * time.Second
 	// archiveRetryDelay is the pause after a failed call to the store.
 	archiveRetryDelay = 500 * time.Millisecond
+	// conflictDelay is the longest pause after another process has written the record. Many
+	// may have something to write when a rack goes down.
+	conflictDelay = 300 * time.Millisecond
 	// clockTolerance is how far the time of day of two hosts may differ for the loss of a
 	// target that both report to count once.
 	clockTolerance = 10 * time.Second
@@ -267,7 +271,7 @@
 		return errors.Wrap(err, "encode the archive of requests in quarantine")
 	}
 	if _, err = archive.store.Swap(ctx, ArchiveKey, version, data, ""); errors.Is(err, agatestage.ErrConflict) {
-		// Another process has written meanwhile.
+		ticks.Wait(ctx, archive.clock, rand.N(conflictDelay))
 		return archive.save(ctx)
 	}
 	if err == nil {
--- a/internal/route/blame/archive_test.go
+++ b/internal/route/blame/archive_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"strconv"
+	"sync"
 	"testing"
 	"time"
 
@@ -143,6 +144,28 @@
 	archives.Expect(lost).To(gomega.Equal(2))
 }
 
+func TestManyProcessesSaveAtATimeWithFewCalls(t *testing.T) {
+	const processes, requests = 60, 4
+	archives := newArchives(t)
+	clock := agatestage.SystemClock()
+	var saves sync.WaitGroup
+	for number := range processes {
+		list := New(clock)
+		archive := NewArchive(archives.store, clock, list)
+		for _, target := range []string{"a", "b"} {
+			list.Charge(&agatestage.Call{Fingerprint: 1 + uint64(number%requests)}, target)
+		}
+		saves.Go(func() { archive.persist(context.Background(), "save", archive.save) })
+	}
+	saves.Wait()
+	stored, _, err := NewArchive(archives.store, clock, New(clock)).read(context.Background())
+	archives.Expect(err).NotTo(gomega.HaveOccurred())
+	archives.Expect(stored).To(gomega.HaveLen(requests))
+	counts := archives.store.Counts()
+	// A write fails only if another one has succeeded, and each request needs one that does.
+	archives.Expect(counts.Reads + counts.Writes).To(gomega.BeNumerically("<=", 2*(requests+1)*processes))
+}
+
 func TestOnlyTheOwnerSavesWhatItHasOnlyHeard(t *testing.T) {
 	for _, owned := range []bool{true, false} {
 		t.Run(fmt.Sprint("owner: ", owned), func(t *testing.T) {
