--- a/internal/gate/conns/conns.go
+++ b/internal/gate/conns/conns.go
@@ -199,8 +199,14 @@
 	return errors.Errorf("more than %d informational responses arrived", maxInformational)
 }
 
-// Length returns the length of the body that the head states, or -1 if it states none.
-func (response *TargetResponse) Length() int64 { return response.httpResponse.ContentLength }
+// Length returns the length of the body that the head states, or -1 if it states none. An
+// answer without a body, to a HEAD request for example, may state that of another.
+func (response *TargetResponse) Length() int64 {
+	if response.httpResponse.Body == http.NoBody {
+		return 0
+	}
+	return response.httpResponse.ContentLength
+}
 
 // Read reads the body. It returns io.EOF only at the proper end of the body.
 func (response *TargetResponse) Read(data []byte) (n int, err error) {
--- a/internal/gate/relay/body.go
+++ b/internal/gate/relay/body.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"io"
+	"net/http"
 
 	"github.com/pkg/errors"
 
+	"github.com/agatestage/agatestage"
 	"github.com/agatestage/agatestage/internal/base/budget"
 	"github.com/agatestage/agatestage/internal/gate/conns"
 )
@@ -22,6 +24,35 @@
 
 var errResponseTooLarge = errors.Errorf("the answer is larger than %d bytes", maxResponseBytes)
 
+// buffered is a complete response.
+type buffered struct {
+	status int
+	header http.Header
+	body
+}
+
+// setLastFailure keeps an error response instead of the one before.
+func (run *run) setLastFailure(response *buffered) {
+	if run.lastFailure != nil {
+		run.lastFailure.release()
+	}
+	run.lastFailure = response
+}
+
+// writeBuffered writes a complete response to the sink.
+func (run *run) writeBuffered(response *buffered) *agatestage.Refusal {
+	run.result.ResponseStarted, run.result.Status, run.result.FirstEventAt = true, response.status, run.clock.Now()
+	if err := run.sink.Head(response.status, response.header, response.size); err != nil {
+		return callerGone(err)
+	}
+	for _, piece := range response.pieces {
+		if err := run.sink.Data(piece); err != nil {
+			return callerGone(err)
+		}
+	}
+	return nil
+}
+
 // share is the part of the memory that a stream holds.
 type share struct {
 	hold  *budget.Hold
@@ -29,6 +60,7 @@
 	bytes int
 }
 
+// newShare returns a share of no bytes.
 func (run *run) newShare() *share {
 	share := &share{hold: run.memory.Hold(), free: freeBytes}
 	if run.plan.Batch {
--- a/internal/gate/relay/large_test.go
+++ b/internal/gate/relay/large_test.go
@@ -1,6 +1,7 @@
 package relay_test
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"strings"
@@ -101,6 +102,15 @@
 		calls.Wait()
 		fixture.expectAllServed(plan(), text)
 	})
+	ginkgo.It("that are only asked about keep their stated length, however large", func() {
+		fixture := newFixture(newTarget(func(exchange *exchange) bool {
+			exchange.write("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: yes\r\nContent-Length: %d\r\n\r\n", headerID, exchange.id, headerMark, maxAnswerBytes+1)
+			return true
+		}))
+		sink := &sink{}
+		result := fixture.Serve(context.Background(), &agatestage.Call{ID: "call", Method: http.MethodHead, Host: "host", Path: "/path"}, plan(), sink)
+		expectAnswer(result, sink, http.StatusOK, "")
+	})
 	ginkgo.It("whose stated length is too large fail at once", func() {
 		fixture := newFixture(newTarget(func(exchange *exchange) bool {
 			exchange.write("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: yes\r\nContent-Length: %d\r\n\r\n", headerID, exchange.id, headerMark, maxAnswerBytes+1)
--- a/internal/gate/relay/relay.go
+++ b/internal/gate/relay/relay.go
@@ -173,13 +173,6 @@
 	dropped bool
 }
 
-// buffered is a complete response.
-type buffered struct {
-	status int
-	header http.Header
-	body
-}
-
 // run is the state of a call that is being served.
 type run struct {
 	*Relay
@@ -377,28 +370,6 @@
 	run.result.Refusal = &final
 }
 
-// setLastFailure keeps an error response instead of the one before.
-func (run *run) setLastFailure(response *buffered) {
-	if run.lastFailure != nil {
-		run.lastFailure.release()
-	}
-	run.lastFailure = response
-}
-
-// writeBuffered writes a complete response to the sink.
-func (run *run) writeBuffered(response *buffered) *agatestage.Refusal {
-	run.result.ResponseStarted, run.result.Status, run.result.FirstEventAt = true, response.status, run.clock.Now()
-	if err := run.sink.Head(response.status, response.header, response.size); err != nil {
-		return callerGone(err)
-	}
-	for _, piece := range response.pieces {
-		if err := run.sink.Data(piece); err != nil {
-			return callerGone(err)
-		}
-	}
-	return nil
-}
-
 // callerGone returns the refusal of a call whose caller has disconnected.
 func callerGone(err error) *agatestage.Refusal {
 	return &agatestage.Refusal{Code: agatestage.CodeDeadline, Message: "the caller went away: " + err.Error(), Ran: agatestage.RanUnknown}
