route/blame: the record of requests in quarantine stays below the store's limit

Read, then shown by a test (route/blame 'targets have long names', failed before: a value of 3,366,812 bytes): requests and losses were bounded by number only, so that long names of targets made a record that the store refuses each time. The latest requests are kept, as many as fit.

--- a/internal/route/blame/archive.go
+++ b/internal/route/blame/archive.go
@@ -21,9 +21,11 @@
 	// ArchiveKey is the key of the record in the store.
 	ArchiveKey = "blame/quarantine"
 	// maxArchived bounds the requests in the record, of which the latest are kept, and
-	// maxArchivedLosses the losses of each, so that the record stays below 1 MB.
+	// maxArchivedLosses the losses of each. maxArchiveBytes bounds the record, as the store
+	// refuses a value of more than a megabyte.
 	maxArchived       = 400
 	maxArchivedLosses = 8
+	maxArchiveBytes   = 900 << 10
 	// checkDelay is how long the owner of a request waits before it checks that the
 	// process that lost the target has saved it.
 	checkDelay = 2 * time.Second
@@ -265,10 +267,9 @@
 	if !changed {
 		return nil
 	}
-	trim(stored)
 	var data []byte
-	if data, err = json.Marshal(stored); err != nil {
-		return errors.Wrap(err, "encode the archive of requests in quarantine")
+	if data, err = encodeArchive(stored); err != nil {
+		return err
 	}
 	if _, err = archive.store.Swap(ctx, ArchiveKey, version, data, ""); errors.Is(err, agatestage.ErrConflict) {
 		ticks.Wait(ctx, archive.clock, rand.N(conflictDelay))
@@ -280,15 +281,26 @@
 	return err
 }
 
-// trim removes the requests with the oldest losses beyond maxArchived.
-func trim(stored map[string]archived) {
-	if len(stored) <= maxArchived {
+// encodeArchive encodes the latest requests, as many as a record may have.
+func encodeArchive(stored map[string]archived) ([]byte, error) {
+	for most := maxArchived; ; most /= 2 {
+		trim(stored, most)
+		data, err := json.Marshal(stored)
+		if err != nil || len(data) <= maxArchiveBytes || most == 0 {
+			return data, errors.Wrap(err, "encode the archive of requests in quarantine")
+		}
+	}
+}
+
+// trim removes the requests with the oldest losses beyond a number.
+func trim(stored map[string]archived, most int) {
+	if len(stored) <= most {
 		return
 	}
 	names := slices.SortedFunc(maps.Keys(stored), func(a, b string) int {
 		return cmp.Or(stored[b].last().Compare(stored[a].last()), cmp.Compare(a, b))
 	})
-	for _, name := range names[maxArchived:] {
+	for _, name := range names[most:] {
 		delete(stored, name)
 	}
 }
--- a/internal/route/blame/archive_test.go
+++ b/internal/route/blame/archive_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -225,6 +226,21 @@
 	archives.Expect(stored).NotTo(gomega.HaveKey(Name(1)))
 }
 
+func TestRequestsWhoseTargetsHaveLongNamesAreSaved(t *testing.T) {
+	archives := newArchives(t)
+	list, archive := archives.start(0)
+	for fingerprint := range uint64(maxArchived) {
+		for number := range maxArchivedLosses {
+			list.Charge(&agatestage.Call{Fingerprint: 1 + fingerprint}, fmt.Sprint(number, strings.Repeat("x", 1000)))
+			list.clock.(*clocks.FakeClock).Step(time.Millisecond)
+		}
+	}
+	archives.save(archive)
+	stored, _, err := archive.read(context.Background())
+	archives.Expect(err).NotTo(gomega.HaveOccurred())
+	archives.Expect(stored).To(gomega.HaveKey(Name(maxArchived)))
+}
+
 func TestRecordOfAnotherWriterIsReplaced(t *testing.T) {
 	for name, value := range map[string]string{
 		"not JSON": "\xff", "another type": `[]`, "a request without losses": `{"1":{}}`, "a name that is none": `{"x":{"Losses":[{"Target":"a"}]}}`,
