route/blame: a further loss of a target that keeps its name is saved

What callers could see: targets that restart under the same names (the users' pages allow it) and end again under one body within 10 s: the further loss was taken for the one in the store, as hosts' clocks may differ by that much, and a process that knew fewer losses dropped it. After the loss of all gateways the request was on trial after 5 s instead of barred for ten minutes, once more each time.

Cause: several losses had one counterpart. Change: each stored loss is the counterpart of one. Ruled out: a smaller tolerance, which counts a loss twice where clocks differ.

Measured: 'further loss of a target that keeps its name' gave 3 losses instead of 4 before, 4 now; go test -count=2 ./internal/route/blame passes.

--- a/internal/route/blame/archive.go
+++ b/internal/route/blame/archive.go
@@ -66,20 +66,27 @@
 	return archived.CompletedAt.Sub(archived.last()) >= barredTime
 }
 
-// include reports whether the losses include one.
-func include(losses []archivedLoss, loss archivedLoss) bool {
-	return slices.ContainsFunc(losses, func(known archivedLoss) bool {
-		return known.Target == loss.Target && known.At.Sub(loss.At).Abs() < clockTolerance
-	})
+// missing returns the losses that have no counterpart among the known ones. Each known loss is
+// the counterpart of one, as a target that keeps its name may be lost again.
+func missing(losses, known []archivedLoss) (missing []archivedLoss) {
+	left := slices.Clone(known)
+	for _, loss := range losses {
+		counterpart := slices.IndexFunc(left, func(known archivedLoss) bool {
+			return known.Target == loss.Target && known.At.Sub(loss.At).Abs() < clockTolerance
+		})
+		if counterpart < 0 {
+			missing = append(missing, loss)
+			continue
+		}
+		left = slices.Delete(left, counterpart, counterpart+1)
+	}
+	return missing
 }
 
 // covers reports whether what another holds of the request adds nothing that changes how
 // it is treated.
 func (archived archived) covers(other archived) bool {
-	missing := func(known []archivedLoss) func(archivedLoss) bool {
-		return func(loss archivedLoss) bool { return !include(known, loss) }
-	}
-	if slices.ContainsFunc(other.Losses, missing(archived.Losses)) || slices.ContainsFunc(other.Others, missing(archived.Others)) {
+	if len(missing(other.Losses, archived.Losses)) > 0 || len(missing(other.Others, archived.Others)) > 0 {
 		return false
 	}
 	return archived.CompletedAt.After(other.CompletedAt) || archived.completed() == other.completed() && archived.pardoned() == other.pardoned()
@@ -87,16 +94,8 @@
 
 // merge adds to what is stored of a request what this process knows of it.
 func (archived archived) merge(own archived) archived {
-	for _, loss := range archived.Losses {
-		if !include(own.Losses, loss) {
-			own.Losses = append(own.Losses, loss)
-		}
-	}
-	for _, other := range archived.Others {
-		if !include(own.Others, other) {
-			own.Others = append(own.Others, other)
-		}
-	}
+	own.Losses = append(own.Losses, missing(archived.Losses, own.Losses)...)
+	own.Others = append(own.Others, missing(archived.Others, own.Others)...)
 	byTime := func(a, b archivedLoss) int { return a.At.Compare(b.At) }
 	slices.SortFunc(own.Losses, byTime)
 	own.Losses = own.Losses[max(0, len(own.Losses)-maxArchivedLosses):]
--- a/internal/route/blame/archive_test.go
+++ b/internal/route/blame/archive_test.go
@@ -74,6 +74,26 @@
 	}
 }
 
+func TestFurtherLossOfATargetThatKeepsItsNameIsSaved(t *testing.T) {
+	archives := newArchives(t)
+	list, archive := archives.start(0)
+	for _, target := range []string{"a", "b"} {
+		list.Charge(&agatestage.Call{Fingerprint: 1}, target)
+	}
+	archives.save(archive)
+	fewer, fewerArchive := archives.start(time.Second)
+	list.clock.(*clocks.FakeClock).Step(firstPause)
+	list.Charge(&agatestage.Call{Fingerprint: 1, Trial: true}, "a")
+	archives.save(archive)
+	// A process that missed the last loss has another to add.
+	fewer.Charge(&agatestage.Call{Fingerprint: 1}, "c")
+	archives.save(fewerArchive)
+	later, _ := archives.start(firstPause + time.Second)
+	lost, _ := later.Counts(1)
+	archives.Expect(lost).To(gomega.Equal(4))
+	archives.expectRefused(later, 1)
+}
+
 func TestSoundRequestThatWasLostWithARackStaysAdmittedAfterTheEndOfAllThatKnewIt(t *testing.T) {
 	for _, othersFirst := range []bool{true, false} {
 		t.Run(fmt.Sprint("others lost first: ", othersFirst), func(t *testing.T) {
