platform, gate/relay: the log names the parts of the prompts that were in flight when a target ended

Nothing is decided by them yet.

Ruled out: the header itself in the log, whose length callers choose.

--- a/endpoint.go
+++ b/endpoint.go
@@ -51,6 +51,9 @@
 	// the target; after is the ID of the last event that the caller already has,
 	// or 0.
 	Encode(call *Call, endpoint Endpoint, left time.Duration, after int64) http.Header
+	// Parts returns the parts of a prompt that other calls may have in common, as the
+	// header of a call states them.
+	Parts(header http.Header) []Part
 	// Inspect interprets the head of an answer to the call.
 	Inspect(call *Call, status int, header http.Header) AnswerInfo
 }
--- a/internal/gate/batch/stream_test.go
+++ b/internal/gate/batch/stream_test.go
@@ -37,6 +37,13 @@
 	return http.Header{"Call-Id": {call.ID}, "Last-Event-Id": {strconv.FormatInt(after, 10)}}
 }
 
+func (dialect) Parts(header http.Header) (parts []agatestage.Part) {
+	for _, name := range header["Parts"] {
+		parts = append(parts, agatestage.NewPart(name))
+	}
+	return parts
+}
+
 func (dialect) Inspect(_ *agatestage.Call, status int, header http.Header) agatestage.AnswerInfo {
 	return agatestage.AnswerInfo{
 		CallIDs: header["Call-Id"], NotRun: header.Get("Not-Run") != "",
--- a/internal/gate/relay/target_test.go
+++ b/internal/gate/relay/target_test.go
@@ -25,6 +25,13 @@
 	return header
 }
 
+func (dialect) Parts(header http.Header) (parts []agatestage.Part) {
+	for _, name := range header["Parts"] {
+		parts = append(parts, agatestage.NewPart(name))
+	}
+	return parts
+}
+
 func (dialect) Inspect(_ *agatestage.Call, status int, header http.Header) agatestage.AnswerInfo {
 	return agatestage.AnswerInfo{
 		CallIDs: header[headerID], NotRun: header.Get(headerNotRun) != "",
--- a/internal/route/blame/blame.go
+++ b/internal/route/blame/blame.go
@@ -64,6 +64,17 @@
 // Name returns the fingerprint as logs show it.
 func Name(fingerprint uint64) string { return strconv.FormatUint(fingerprint, 16) }
 
+// maxNamedParts bounds the parts of a prompt that one line of the log names.
+const maxNamedParts = 8
+
+// PartNames returns the names of the parts of a call's prompt, for logs.
+func PartNames(call *agatestage.Call) (names []string) {
+	for _, part := range call.Parts[:min(len(call.Parts), maxNamedParts)] {
+		names = append(names, part.Name)
+	}
+	return names
+}
+
 // fingerprintOf returns the fingerprint that logs show as the name.
 func fingerprintOf(name string) (fingerprint uint64, ok bool) {
 	fingerprint, err := strconv.ParseUint(name, 16, 64)
--- a/target.go
+++ b/target.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"net/netip"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Kind is the kind of a target: a model engine or a plain service.
@@ -49,6 +51,22 @@
 	// Prefix is a hash of the beginning of the prompt, for cache affinity; 0 if the
 	// call has none.
 	Prefix uint64
+	// Parts holds the parts of the prompt that other calls may have in common, in their
+	// order. Only the process that routes the call uses them.
+	Parts []Part `cbor:"-"`
+}
+
+// Part is a part of a prompt, such as a document or an earlier message of a chat.
+type Part struct {
+	// Name is how logs show it.
+	Name string
+	// Fingerprint is equal for all calls that have the part in common.
+	Fingerprint uint64
+}
+
+// NewPart returns the part with a name.
+func NewPart(name string) Part {
+	return Part{Name: name, Fingerprint: xxhash.Sum64String("part\x00" + name)}
 }
 
 // Answer is a target's response with its body still to be read. The reader of Body
