route/blame: a part of prompts that ends targets is found, barred and kept, and requests beside it aren't blamed

Cause: a loss was attributed to one identity of the request, its body. The class: the cause of a loss may be any trait that requests share.

Change: parts of prompts, all but the last, get strikes like requests. A part counts after losses under several requests, unless a completed request with it (2xx, whole) followed or came just before; the part with most losses explains those of others and of requests in flight beside it. Gateways that have completed a part answer another's strike for it. Quarantine, trials, messages and the record in the store are those of requests, so that it outlasts all gateways. Items blame parts and wait while one is in quarantine. On entries the parts are the messages of a chat but the last. Besides: only an answer with 2xx frees a request on trial; an answer with another status releases the trial.

Ruled out: telling all completions (a message a call), barring at the first loss (bars every sound part in flight), waiting for what was in flight to end (later than the bar has to fall). docs/design/006-platform.md.

--- a/internal/entry/front/body.go
+++ b/internal/entry/front/body.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/url"
 	"os"
+	"strconv"
 	"strings"
 	"time"
 	"unicode/utf8"
@@ -87,6 +88,25 @@
 	return digest.Sum64()
 }
 
+// maxParts bounds the messages of a chat that are told apart; those beyond it are ignored.
+const maxParts = 256
+
+// parts returns the messages of a chat but the last: chats have in common what they began
+// with. A single text has none.
+func (prompt prompt) parts() (parts []agatestage.Part) {
+	var messages []json.RawMessage
+	if json.Unmarshal(prompt.Messages, &messages) != nil || len(messages) == 0 {
+		return nil
+	}
+	for _, message := range messages[:min(len(messages)-1, maxParts)] {
+		var text bytes.Buffer
+		// Spaces between the fields don't matter. The message has been decoded.
+		_ = json.Compact(&text, message)
+		parts = append(parts, agatestage.NewPart(strconv.FormatUint(xxhash.Sum64(text.Bytes()), 16)))
+	}
+	return parts
+}
+
 // firstMessage returns the first message of a chat, which the requests of the
 // chat have in common, or the beginning of the text.
 func firstMessage(text json.RawMessage) []byte {
--- a/internal/entry/front/front.go
+++ b/internal/entry/front/front.go
@@ -123,6 +123,7 @@
 	call := &agatestage.Call{
 		Organisation: organisation, Model: prompt.Model, Method: request.Method, Path: request.URL.RequestURI(),
 		Header: forwardedHeader(request.Header), Body: body, Idempotent: true, Prefix: prompt.prefixHash(organisation),
+		Parts: prompt.parts(),
 	}
 	front.relayCall(writer, request, route, call, startedAt)
 }
--- a/internal/entry/peers/trial.go
+++ b/internal/entry/peers/trial.go
@@ -21,7 +21,7 @@
 		defer cancel()
 		if err = mesh.node.Ask(ctx, others[owner], KindTrial, inquiry, &permitted); err != nil {
 			// The owner may have permitted the trial.
-			go mesh.Strike(ctx, blame.Strike{Released: inquiry.Fingerprint, Call: inquiry.Call})
+			go mesh.Strike(ctx, inquiry.Withdrawn())
 		}
 	}
 	klog.InfoS("trial of a request in quarantine", "body", blame.Name(inquiry.Fingerprint), "evidence", len(inquiry.Strikes), "permitted", permitted, "owner", owner, "error", err)
--- a/internal/entry/relay/reader.go
+++ b/internal/entry/relay/reader.go
@@ -47,7 +47,7 @@
 				result.refusal = unknownOutcome(ctx, "the target's side sent the answer to another call")
 				return result
 			}
-			result.responseStarted = true
+			result.responseStarted, result.status = true, answerPart.Head.Status
 			if err := reader.sink.Head(answerPart.Head.Status, answerPart.Head.Header); err != nil {
 				result.refusal = unknownOutcome(ctx, "the caller went away")
 				return result
--- a/internal/entry/relay/relay.go
+++ b/internal/entry/relay/relay.go
@@ -101,8 +101,10 @@
 type outcome struct {
 	// responseStarted is true if a part of the answer has been passed to the sink.
 	responseStarted bool
-	refusal         *agatestage.Refusal
-	targetLost      bool
+	// status is that of the answer.
+	status     int
+	refusal    *agatestage.Refusal
+	targetLost bool
 	// unreachable is true if the target's side could not be reached, linkLost if the link
 	// to it was lost before any of the answer had arrived.
 	unreachable bool
@@ -138,7 +140,9 @@
 		}
 		tried[candidate.Target] = true
 		result := relay.attempt(ctx, call, candidate, timeouts, sink)
-		trialRan = trialRan || call.Trial && (result.refusal == nil || result.refusal.Ran != agatestage.RanNo)
+		succeeded := result.refusal == nil && result.status < http.StatusMultipleChoices
+		answered := result.refusal == nil && !succeeded
+		trialRan = trialRan || call.Trial && !answered && (succeeded || result.refusal.Ran != agatestage.RanNo)
 		if result.targetLost {
 			relay.recordStrike(ctx, call, candidate)
 		}
@@ -149,7 +153,7 @@
 		if result.linkLost {
 			spare[candidate.Target] = true
 		}
-		if result.refusal == nil {
+		if succeeded {
 			relay.reportCompletion(ctx, call)
 		}
 		if result.refusal == nil || result.responseStarted {
@@ -193,15 +197,16 @@
 func (relay *Relay) recordStrike(ctx context.Context, call *agatestage.Call, candidate agatestage.Candidate) {
 	strike := relay.blame.Charge(call, candidate.Target)
 	lost, counted := relay.blame.Counts(strike.Fingerprint)
-	klog.InfoS("target went down", "target", candidate.Target, "call", call.ID, "body", blame.Name(strike.Fingerprint), "lost", lost, "counted", counted)
+	klog.InfoS("target went down", "target", candidate.Target, "call", call.ID, "body", blame.Name(strike.Fingerprint), "lost", lost, "counted", counted,
+		"parts", blame.PartNames(call), "suspects", blame.Names(strike.Parts))
 	relay.strike(ctx, strike)
 }
 
-// reportCompletion reports to the other entries that a target has completed a call whose
-// request was in quarantine.
+// reportCompletion records that a target has answered the call with success, and reports it
+// to the other entries if its request was in quarantine, or a part of its prompt a suspect.
 func (relay *Relay) reportCompletion(ctx context.Context, call *agatestage.Call) {
 	if completion, ok := relay.blame.Complete(call); ok {
-		klog.InfoS("request in quarantine completed", "call", call.ID, "body", blame.Name(completion.Completed))
+		klog.InfoS("request in quarantine completed", "call", call.ID, "body", blame.Name(completion.Completed), "parts", blame.Names(completion.CompletedParts))
 		// The answer ends when its handler returns.
 		go relay.strike(ctx, completion)
 	}
@@ -210,7 +215,7 @@
 // releaseTrial lets another call of the request run on trial, if this one was on trial.
 func (relay *Relay) releaseTrial(ctx context.Context, call *agatestage.Call) {
 	if released, ok := relay.blame.Release(call); ok {
-		klog.InfoS("trial ended without a result", "call", call.ID, "body", blame.Name(released.Released))
+		klog.InfoS("trial ended without a result", "call", call.ID, "body", blame.Name(released.Released), "parts", blame.Names(released.ReleasedParts))
 		go relay.strike(context.WithoutCancel(ctx), released)
 	}
 }
--- a/internal/gate/batch/crash_test.go
+++ b/internal/gate/batch/crash_test.go
@@ -46,3 +46,21 @@
 		})
 	}
 })
+
+var _ = ginkgo.Describe("an item whose prompt has a part in quarantine", func() {
+	ginkgo.It("waits, and is run once the part is free", func() {
+		fixture := newFixture()
+		fixture.fakeFleet.setAlive(first)
+		owner, _ := fixture.start(first)
+		fixture.fakeRunner.script = func(_ string, run int) relay.Result {
+			if run > maxAttempts+1 {
+				return relay.Result{Status: http.StatusOK}
+			}
+			return relay.Result{Refusal: agatestage.Refuse(agatestage.CodeHarmful, "a part of the prompt is in quarantine")}
+		}
+		spec := fixture.spec("job", 1)
+		gomega.Expect(owner.Submit(context.Background(), spec)).To(gomega.Succeed())
+		gomega.Expect(expectDone(owner, spec)[0].Failed).To(gomega.BeFalse())
+		gomega.Expect(fixture.fakeRunner.runCount("job-0")).To(gomega.Equal(maxAttempts + 2))
+	})
+})
--- a/internal/gate/batch/run.go
+++ b/internal/gate/batch/run.go
@@ -88,7 +88,11 @@
 			job.addResult(itemResult)
 			return
 		}
-		if !result.Preempted {
+		switch {
+		case result.Preempted:
+		case result.Refusal != nil && result.Refusal.Code == agatestage.CodeHarmful:
+			ticks.Wait(ctx, job.manager.clock, min(maxRetryDelay, max(minRetryDelay, result.Refusal.RetryAfter)))
+		default:
 			ticks.Wait(ctx, job.manager.clock, min(maxRetryDelay, minRetryDelay<<min(maxRetryShift, stats.failed+stats.incomplete)))
 		}
 	}
@@ -143,8 +147,8 @@
 	case result.Refusal == nil && result.Status == http.StatusInternalServerError:
 		stats.failed++
 		job.recordFailure(item.ID, stats.failed)
-	case result.Preempted, result.Refusal != nil && result.Refusal.Code == agatestage.CodeBusy && job.beforeGiveUp():
-		// Preemption and a full target are no fault of the item or its target.
+	case result.Preempted, result.Refusal != nil && waits(result.Refusal.Code) && job.beforeGiveUp():
+		// Preemption, a full target and a part of the prompt in quarantine are no failure.
 		return Result{}, false
 	default:
 		stats.incomplete++
@@ -161,6 +165,11 @@
 	return Result{}, false
 }
 
+// waits reports whether an item that was refused is still owed as before.
+func waits(code agatestage.Code) bool {
+	return code == agatestage.CodeBusy || code == agatestage.CodeHarmful
+}
+
 // beforeGiveUp reports whether the job's items must still be retried.
 func (job *job) beforeGiveUp() bool {
 	return !job.manager.clock.Now().After(job.head.GiveUp.Add(clockSkewMargin))
--- a/internal/gate/gossip/trial.go
+++ b/internal/gate/gossip/trial.go
@@ -25,7 +25,7 @@
 		defer cancel()
 		if err = mesh.transport.Ask(ctx, owner.Address, KindTrial, inquiry, &permitted); err != nil {
 			// The owner may have permitted the trial.
-			mesh.BroadcastStrike(blame.Strike{Released: inquiry.Fingerprint, Call: inquiry.Call})
+			mesh.BroadcastStrike(inquiry.Withdrawn())
 		}
 	}
 	klog.InfoS("trial of a request in quarantine", "body", blame.Name(inquiry.Fingerprint), "evidence", len(inquiry.Strikes), "permitted", permitted, "owner", owner.Name, "error", err)
--- a/internal/gate/relay/probe.go
+++ b/internal/gate/relay/probe.go
@@ -56,7 +56,7 @@
 	strike := relay.blame.Charge(call, endpoint.ID)
 	lost, counted := relay.blame.Counts(strike.Fingerprint)
 	klog.InfoS("target went down", "target", endpoint.ID, "address", endpoint.Address, "call", call.ID,
-		"body", blame.Name(strike.Fingerprint), "lost", lost, "counted", counted, "parts", blame.PartNames(call))
+		"body", blame.Name(strike.Fingerprint), "lost", lost, "counted", counted, "parts", blame.PartNames(call), "suspects", blame.Names(strike.Parts))
 	relay.strike(strike)
 }
 
--- a/internal/gate/relay/relay.go
+++ b/internal/gate/relay/relay.go
@@ -229,7 +229,9 @@
 		end := run.attempt(ctx, reservation)
 		reservation.Release(end.failed)
 		run.result.SlotTime += run.clock.Since(began)
-		run.trialRan = run.trialRan || run.call.Trial && !end.notRun && end.buffered == nil
+		succeeded := end.done && end.refusal == nil && run.result.Status < http.StatusMultipleChoices
+		answered := end.buffered != nil || end.done && end.refusal == nil && !succeeded
+		run.trialRan = run.trialRan || run.call.Trial && !end.notRun && !answered
 		var known <-chan struct{}
 		if end.crashed {
 			known = run.checkCrash(reservation.Target)
@@ -239,9 +241,9 @@
 				klog.InfoS("call gave way", "call", run.call.ID, "target", reservation.Target.ID, "last", run.result.LastEventID)
 			}
 			run.result.Refusal = end.refusal
-			if end.refusal == nil {
+			if succeeded {
 				run.reportCompletion()
-			} else if !end.notRun && !run.result.Preempted {
+			} else if end.refusal != nil && !end.notRun && !run.result.Preempted {
 				run.abandon(reservation.Target)
 			}
 			return
@@ -265,11 +267,11 @@
 	}
 }
 
-// reportCompletion reports to the other gateways that a target has completed a call whose
-// request was in quarantine.
+// reportCompletion records that a target has answered the call with success, and reports it
+// to the other gateways if its request was in quarantine, or a part of its prompt a suspect.
 func (run *run) reportCompletion() {
 	if completion, ok := run.blame.Complete(run.call); ok {
-		klog.InfoS("request in quarantine completed", "call", run.call.ID, "body", blame.Name(completion.Completed))
+		klog.InfoS("request in quarantine completed", "call", run.call.ID, "body", blame.Name(completion.Completed), "parts", blame.Names(completion.CompletedParts))
 		run.strike(completion)
 	}
 }
@@ -277,7 +279,7 @@
 // releaseTrial lets another call of the request run on trial, if this one was on trial.
 func (run *run) releaseTrial() {
 	if released, ok := run.blame.Release(run.call); ok {
-		klog.InfoS("trial ended without a result", "call", run.call.ID, "body", blame.Name(released.Released))
+		klog.InfoS("trial ended without a result", "call", run.call.ID, "body", blame.Name(released.Released), "parts", blame.Names(released.ReleasedParts))
 		run.strike(released)
 	}
 }
--- a/internal/route/blame/archive.go
+++ b/internal/route/blame/archive.go
@@ -44,10 +44,13 @@
 	Target string
 	At     time.Time
 	Trial  bool `json:",omitempty"`
+	// Requests holds some requests that were lost there with a part.
+	Requests []uint64 `json:",omitempty"`
 }
 
-// archived is a request in quarantine in the store.
+// archived is a request in quarantine in the store, or a part of prompts.
 type archived struct {
+	Part bool `json:",omitempty"`
 	// Losses holds the targets that were lost while running the request, by time, and
 	// Others those that explain these losses.
 	Losses []archivedLoss
@@ -315,11 +318,24 @@
 		list.add(Strike{Target: other.Target, Age: age(other.At)}, false)
 	}
 	for _, lost := range archived.Losses {
-		list.add(Strike{Fingerprint: fingerprint, Target: lost.Target, Age: age(lost.At), Trial: lost.Trial}, false)
+		strike := Strike{Target: lost.Target, Age: age(lost.At), Trial: lost.Trial}
+		if archived.Part {
+			strike.Parts, strike.Requests = []uint64{fingerprint}, lost.Requests
+		} else {
+			strike.Fingerprint = fingerprint
+		}
+		list.add(strike, false)
+	}
+	if archived.CompletedAt.IsZero() {
+		return
 	}
-	if !archived.CompletedAt.IsZero() {
-		list.add(Strike{Completed: fingerprint, Age: age(archived.CompletedAt)}, false)
+	completion := Strike{Age: age(archived.CompletedAt)}
+	if archived.Part {
+		completion.CompletedParts = []uint64{fingerprint}
+	} else {
+		completion.Completed = fingerprint
 	}
+	list.add(completion, false)
 }
 
 // quarantined returns the requests in quarantine of which this process has found out
@@ -330,7 +346,11 @@
 	list.expire(list.clock.Now())
 	requests := make(map[string]archived)
 	for fingerprint, record := range list.records {
-		if len(record.losses) >= quarantineLosses && (record.own || owns(fingerprint)) {
+		if len(record.losses) < quarantineLosses || !record.own && !owns(fingerprint) {
+			continue
+		}
+		// What was lost beside a harmful part, or is completed by others, needs no record.
+		if record.held = record.held || len(list.counted(fingerprint, record)) >= quarantineLosses; record.held {
 			requests[Name(fingerprint)] = archived{}.merge(list.archived(record))
 		}
 	}
@@ -339,8 +359,11 @@
 
 // archived returns what is stored of a request. The mutex must be held.
 func (list *List) archived(record *record) (stored archived) {
+	stored.Part = record.part
 	for _, loss := range record.losses {
-		stored.Losses = append(stored.Losses, archivedLoss{Target: loss.target, At: loss.at, Trial: loss.trial})
+		stored.Losses = append(stored.Losses, archivedLoss{
+			Target: loss.target, At: loss.at, Trial: loss.trial, Requests: loss.requests[:min(len(loss.requests), maxPartRequests)],
+		})
 	}
 	for _, loss := range list.explaining(record) {
 		stored.Others = append(stored.Others, archivedLoss{Target: loss.target, At: loss.at})
--- a/internal/route/blame/blame.go
+++ b/internal/route/blame/blame.go
@@ -11,20 +11,29 @@
 // another target goes down lengthens it. Losses on two occasions that the losses of
 // other targets don't explain bar the request for the longest pause.
 //
+// What takes a target down may also be a part of the prompt, which requests have in common
+// that are otherwise different. So the parts of a prompt get strikes like the request
+// itself. A part counts as suspect only once targets have gone down under several
+// requests with it, and none has completed a request with it since or just before: sound
+// parts are completed all the time, also while a harmful one is about. Of the parts that
+// were on the same targets the one with the most losses explains those of the others and
+// of the requests.
+//
 // Batch calls are items that callers have handed in for later, which never take down
 // targets by themselves: those that crash get no strike and are never refused, so that
 // an item that was unlucky several times is still run. Their losses count only towards
-// a common cause.
+// a common cause. The parts of their prompts are judged like all others, so that an item
+// waits while one of them is in quarantine.
 package blame
 
 import (
 	"context"
-	"math/rand/v2"
-	"slices"
 	"strconv"
 	"sync"
 	"time"
 
+	"k8s.io/klog/v2"
+
 	"github.com/agatestage/agatestage"
 )
 
@@ -38,8 +47,10 @@
 	expirePeriod = time.Second
 	// blameless is the fingerprint of a call that gets no strikes.
 	blameless = 0
-	// maxRecords bounds the requests with strikes that are kept.
+	// maxRecords bounds the requests with strikes that are kept, and maxParts the parts of
+	// prompts.
 	maxRecords = 100_000
+	maxParts   = 20_000
 )
 
 // Strike reports that a target went down with a request in flight. If the fingerprint
@@ -51,19 +62,35 @@
 	Age time.Duration
 	// Trial is true if the request was on trial.
 	Trial bool `cbor:",omitempty"`
+	// Parts holds the fingerprints of the parts of the request's prompt that may have caused
+	// the loss, in their order, and Requests those of the request, or of some that were lost
+	// there with a part, also where they get no strikes themselves.
+	Parts    []uint64 `cbor:",omitempty"`
+	Requests []uint64 `cbor:",omitempty"`
 	// Completed, if it isn't 0, is the fingerprint of a request in quarantine that a target
-	// has completed. The other fields but Age are empty then.
-	Completed uint64 `cbor:",omitempty"`
-	// Released, if it isn't 0, is the fingerprint of a request whose trial, the call with the
-	// ID Call, ended without a result, and which no target may still run. The other fields
+	// has completed, and CompletedParts holds those of parts with strikes. The other fields
 	// but Age are empty then.
-	Released uint64 `cbor:",omitempty"`
-	Call     string `cbor:",omitempty"`
+	Completed      uint64   `cbor:",omitempty"`
+	CompletedParts []uint64 `cbor:",omitempty"`
+	// Released, if it isn't 0, is the fingerprint of a request whose trial, the call with the
+	// ID Call, ended without a result, and which no target may still run; ReleasedParts
+	// holds those of parts on trial. The other fields but Age are empty then.
+	Released      uint64   `cbor:",omitempty"`
+	ReleasedParts []uint64 `cbor:",omitempty"`
+	Call          string   `cbor:",omitempty"`
 }
 
 // Name returns the fingerprint as logs show it.
 func Name(fingerprint uint64) string { return strconv.FormatUint(fingerprint, 16) }
 
+// Names returns several fingerprints as logs show them.
+func Names(fingerprints []uint64) (names []string) {
+	for _, fingerprint := range fingerprints {
+		names = append(names, Name(fingerprint))
+	}
+	return names
+}
+
 // maxNamedParts bounds the parts of a prompt that one line of the log names.
 const maxNamedParts = 8
 
@@ -81,56 +108,44 @@
 	return fingerprint, err == nil && fingerprint != blameless
 }
 
-// loss is the loss of a target.
-type loss struct {
-	target string
-	at     time.Time
-	// trial is true if the request that the target was running was on trial.
-	trial bool
-}
-
-// same reports whether two losses are one, of which several reports have come.
-func (loss loss) same(other loss) bool {
-	return loss.target == other.target && loss.at.Sub(other.at).Abs() < commonWindow
-}
-
-// record holds the strikes of one request.
-type record struct {
-	// losses holds the targets that were lost while running the request, by time.
-	losses []loss
-	// completedAt is when a target has last completed the request in quarantine.
-	completedAt time.Time
-	// trialUntil is when the last trial that this process has permitted ends at the latest,
-	// trialCall the ID of its call.
-	trialUntil time.Time
-	trialCall  string
-	// own is true if this process has found out part of it.
-	own bool
-}
-
 // List holds the strikes known to an entry or gateway.
 type List struct {
 	clock   agatestage.Clock
 	mutex   sync.Mutex
 	permit  Permit
 	records map[uint64]*record
+	// parts is the number of records of parts.
+	parts int
 	// losses holds the losses of all targets.
 	losses  []loss
 	expired time.Time
+	// completions holds the parts that this process has seen completed lately.
+	completions completions
 	// changed is called with the mutex held when what is known of a request in quarantine
 	// has changed; own is that of its record.
 	changed func(own bool)
+	// testify is called with the mutex held to report to the others that a part has been
+	// completed here.
+	testify func(Strike)
 }
 
 // New returns an empty list. Trials are permitted by the list itself until SetPermit is
 // called.
 func New(clock agatestage.Clock) *List {
-	list := &List{clock: clock, records: make(map[uint64]*record), changed: func(bool) {}}
+	list := &List{clock: clock, records: make(map[uint64]*record), changed: func(bool) {}, testify: func(Strike) {}}
 	list.permit = func(_ context.Context, inquiry Inquiry) bool { return list.PermitTrial(inquiry) }
 	return list
 }
 
-// blamed returns the fingerprint by which losses are attributed to the call.
+// SetTestimony sets the function that reports to the others that a part for which a strike
+// was received has been completed here. It must not block or call the list.
+func (list *List) SetTestimony(testify func(Strike)) {
+	list.mutex.Lock()
+	defer list.mutex.Unlock()
+	list.testify = testify
+}
+
+// blamed returns the fingerprint by which losses are attributed to the call itself.
 func blamed(call *agatestage.Call) uint64 {
 	if call.Batch {
 		return blameless
@@ -141,25 +156,45 @@
 // Charge records that a target was lost while it ran the call. It returns the strike
 // that is to be reported to the others.
 func (list *List) Charge(call *agatestage.Call, target string) Strike {
-	strike := Strike{Fingerprint: blamed(call), Target: target, Trial: call.Trial}
 	list.mutex.Lock()
 	defer list.mutex.Unlock()
+	strike := Strike{Fingerprint: blamed(call), Target: target, Trial: call.Trial}
+	if strike.Parts = list.chargeable(call); len(strike.Parts) > 0 {
+		strike.Requests = []uint64{call.Fingerprint}
+	}
 	list.add(strike, true)
 	return strike
 }
 
-// Complete records that a target has completed the call. If the request is in quarantine,
-// it returns what is to be reported to the others.
+// Complete records that a target has answered the call with success. If the request is in
+// quarantine, or a part of its prompt has strikes, it returns what is to be reported to the
+// others.
 func (list *List) Complete(call *agatestage.Call) (completion Strike, ok bool) {
 	list.mutex.Lock()
 	defer list.mutex.Unlock()
-	found := list.records[blamed(call)]
-	if found == nil || len(found.losses) < quarantineLosses {
-		return Strike{}, false
+	now := list.clock.Now()
+	for _, part := range call.Parts {
+		list.completions.add(part.Fingerprint, now)
+		if record := list.records[part.Fingerprint]; record != nil && len(record.unexcused()) > 0 {
+			record.own = true
+			list.complete(part.Fingerprint, record, now)
+			completion.CompletedParts = append(completion.CompletedParts, part.Fingerprint)
+		}
+	}
+	if record := list.records[blamed(call)]; record != nil && len(record.losses) >= quarantineLosses {
+		record.own = true
+		list.complete(blamed(call), record, now)
+		completion.Completed = blamed(call)
 	}
-	found.own = true
-	list.complete(found, list.clock.Now())
-	return Strike{Completed: blamed(call)}, true
+	return completion, completion.completes()
+}
+
+func (strike Strike) completes() bool {
+	return strike.Completed != blameless || len(strike.CompletedParts) > 0
+}
+
+func (strike Strike) releases() bool {
+	return strike.Released != blameless || len(strike.ReleasedParts) > 0
 }
 
 // Release records that the trial of the call ended without a result, and that no target
@@ -170,13 +205,20 @@
 		return Strike{}, false
 	}
 	released = Strike{Released: blamed(call), Call: call.ID}
-	list.Add(released)
-	return released, true
+	list.mutex.Lock()
+	defer list.mutex.Unlock()
+	for _, part := range call.Parts {
+		if record := list.records[part.Fingerprint]; record != nil && len(record.losses) >= quarantineLosses {
+			released.ReleasedParts = append(released.ReleasedParts, part.Fingerprint)
+		}
+	}
+	list.add(released, false)
+	return released, released.releases()
 }
 
-// complete records that a target has completed a request in quarantine. The mutex must be
-// held.
-func (list *List) complete(record *record, at time.Time) {
+// complete records that a target has completed a request in quarantine, or one with a part.
+// The mutex must be held.
+func (list *List) complete(fingerprint uint64, record *record, at time.Time) {
 	record.trialUntil = time.Time{}
 	if !at.After(record.completedAt) {
 		return
@@ -185,6 +227,10 @@
 	if record.completedAt = at; completed != record.completed() || pardoned != record.pardoned() {
 		list.changed(record.own)
 	}
+	if record.logged && len(record.unexcused()) == 0 {
+		record.logged = false
+		klog.InfoS("part of prompts free again", "fingerprint", Name(fingerprint), "lost", len(record.losses), "completed", at)
+	}
 }
 
 // Add records a strike. It reports whether it is new.
@@ -200,114 +246,89 @@
 	now := list.clock.Now()
 	list.expire(now)
 	at := now.Add(-strike.Age)
-	if strike.Completed != blameless {
-		if found := list.records[strike.Completed]; found != nil {
-			list.complete(found, at)
-		}
+	switch {
+	case strike.completes():
+		list.addCompletions(strike, at)
 		return false
-	}
-	if strike.Released != blameless {
-		if found := list.records[strike.Released]; found != nil && found.trialCall == strike.Call {
-			found.trialUntil = time.Time{}
-		}
+	case strike.releases():
+		list.addReleases(strike)
 		return false
 	}
-	loss := loss{target: strike.Target, at: at, trial: strike.Trial}
+	known := loss{target: strike.Target, at: at, trial: strike.Trial}
+	struck := known
+	struck.parts = list.unexcusedParts(strike, at)
 	var added bool
-	if list.losses, added = insert(list.losses, loss); added {
-		list.noticeCommon(loss)
+	if list.losses, added, _ = insert(list.losses, struck); added {
+		list.noticeCommon(known)
 	}
-	if strike.Fingerprint == blameless || strike.Age >= repeatedLife {
+	list.losses = list.losses[max(0, len(list.losses)-maxAllLosses):]
+	if strike.Age >= repeatedLife {
 		return false
 	}
-	found := list.records[strike.Fingerprint]
-	if found == nil {
-		if len(list.records) >= maxRecords {
-			return false
-		}
-		found = &record{}
-		list.records[strike.Fingerprint] = found
-	}
-	found.own = found.own || own
-	if found.losses, added = insert(found.losses, loss); added {
-		found.trialUntil = time.Time{}
-		if len(found.losses) >= quarantineLosses {
-			list.changed(found.own)
+	added = strike.Fingerprint != blameless && list.addLoss(strike.Fingerprint, known, own, false)
+	known.requests = strike.Requests
+	for depth, part := range struck.parts {
+		added = list.addLoss(part, known, own, true) || added
+		if record := list.records[part]; record != nil {
+			record.depth = max(record.depth, depth)
 		}
 	}
 	return added
 }
 
-// noticeCommon notes that a loss may explain those of requests in quarantine. The mutex must
-// be held.
-func (list *List) noticeCommon(loss loss) {
-	for _, record := range list.records {
-		if len(record.losses) >= quarantineLosses && len(around(record.losses, loss.at)) > 0 {
-			list.changed(record.own)
+// addCompletions records that targets have completed a request or parts.
+func (list *List) addCompletions(strike Strike, at time.Time) {
+	if record := list.records[strike.Completed]; record != nil {
+		list.complete(strike.Completed, record, at)
+	}
+	for _, part := range strike.CompletedParts {
+		list.completions.add(part, at)
+		if record := list.records[part]; record != nil {
+			list.complete(part, record, at)
 		}
 	}
 }
 
-// insert adds a loss to those that are sorted by time, unless it is among them.
-func insert(losses []loss, added loss) ([]loss, bool) {
-	if slices.ContainsFunc(around(losses, added.at), added.same) {
-		return losses, false
+// addReleases records that trials have ended without a result.
+func (list *List) addReleases(strike Strike) {
+	for _, fingerprint := range append([]uint64{strike.Released}, strike.ReleasedParts...) {
+		if record := list.records[fingerprint]; record != nil && record.trialCall == strike.Call {
+			record.trialUntil = time.Time{}
+		}
 	}
-	i, _ := slices.BinarySearchFunc(losses, added.at, func(loss loss, at time.Time) int { return loss.at.Compare(at) })
-	return slices.Insert(losses, i, added), true
 }
 
-// around returns the losses within commonWindow of a time, of those that are sorted by
-// time.
-func around(losses []loss, at time.Time) []loss {
-	compare := func(loss loss, at time.Time) int { return loss.at.Compare(at) }
-	first, _ := slices.BinarySearchFunc(losses, at.Add(-commonWindow+1), compare)
-	after, _ := slices.BinarySearchFunc(losses, at.Add(commonWindow), compare)
-	return losses[first:after]
-}
-
-// evidence returns what another process needs to judge the request with the fingerprint as
-// this one does: the losses of others that explain those of the request, its strikes, and
-// its completion. The mutex must be held.
-func (list *List) evidence(fingerprint uint64, record *record) (strikes []Strike) {
-	now := list.clock.Now()
-	for _, loss := range list.explaining(record) {
-		strikes = append(strikes, Strike{Target: loss.target, Age: now.Sub(loss.at)})
+// addLoss adds the loss of a target to the record of a request or part, and reports whether
+// it is new.
+func (list *List) addLoss(fingerprint uint64, loss loss, own, part bool) (added bool) {
+	found := list.records[fingerprint]
+	if found == nil {
+		if !list.makeRoom(part) {
+			return false
+		}
+		found = &record{part: part}
+		list.records[fingerprint] = found
 	}
-	for _, loss := range record.losses {
-		strikes = append(strikes, Strike{Fingerprint: fingerprint, Target: loss.target, Age: now.Sub(loss.at), Trial: loss.trial})
+	found.own = found.own || own
+	var extended bool
+	if found.losses, added, extended = insert(found.losses, loss); added {
+		found.trialUntil = time.Time{}
 	}
-	if !record.completedAt.IsZero() {
-		strikes = append(strikes, Strike{Completed: fingerprint, Age: now.Sub(record.completedAt)})
+	found.losses = found.losses[max(0, len(found.losses)-maxLosses):]
+	if len(found.losses) >= quarantineLosses && (added || extended) {
+		list.changed(found.own)
 	}
-	return strikes
+	return added
 }
 
-// maxKnown bounds what Known returns at a time, and so the bytes that are sent of it.
-const maxKnown = 16
-
-// Known returns the evidence of the requests that are or were in quarantine, for others
-// that may have missed it; of many requests, some that are drawn anew each time.
-func (list *List) Known() (known []Strike) {
-	list.mutex.Lock()
-	defer list.mutex.Unlock()
-	list.expire(list.clock.Now())
-	var fingerprints []uint64
-	for fingerprint, record := range list.records {
-		if len(record.losses) >= quarantineLosses {
-			fingerprints = append(fingerprints, fingerprint)
-		}
-	}
-	rand.Shuffle(len(fingerprints), func(i, j int) { fingerprints[i], fingerprints[j] = fingerprints[j], fingerprints[i] })
-	for _, fingerprint := range fingerprints {
-		// A request of which only a part were sent would be judged by that part.
-		evidence := list.evidence(fingerprint, list.records[fingerprint])
-		if len(known) > 0 && len(known)+len(evidence) > maxKnown {
-			break
+// noticeCommon notes that a loss may explain those of requests in quarantine. The mutex must
+// be held.
+func (list *List) noticeCommon(loss loss) {
+	for _, record := range list.records {
+		if len(record.losses) >= quarantineLosses && len(around(record.losses, loss.at)) > 0 {
+			list.changed(record.own)
 		}
-		known = append(known, evidence[max(0, len(evidence)-maxKnown):]...)
 	}
-	return known
 }
 
 // Counts returns the number of targets that were lost while running the request, and on
@@ -316,7 +337,7 @@
 	list.mutex.Lock()
 	defer list.mutex.Unlock()
 	if record := list.records[fingerprint]; record != nil {
-		_, unexplained = list.occasions(record)
+		_, unexplained = list.occasions(record, list.counted(fingerprint, record))
 		lost = len(record.losses)
 	}
 	return lost, unexplained
@@ -330,16 +351,22 @@
 	list.expired = now
 	for fingerprint, record := range list.records {
 		life := strikeLife
-		if occasions, _ := list.occasions(record); occasions > 1 && !record.completedAt.After(record.last()) {
-			life = repeatedLife
+		if len(record.losses) > 1 && !record.completed() {
+			if occasions, _ := list.occasions(record, record.losses); occasions > 1 {
+				life = repeatedLife
+			}
 		}
 		if record.losses = expireLosses(record.losses, now, life); len(record.losses) == 0 {
-			delete(list.records, fingerprint)
+			list.remove(fingerprint, record)
 		}
 	}
 	list.losses = expireLosses(list.losses, now, repeatedLife)
 }
 
-func expireLosses(losses []loss, now time.Time, life time.Duration) []loss {
-	return slices.DeleteFunc(losses, func(loss loss) bool { return now.Sub(loss.at) >= life })
+// remove removes a record. The mutex must be held.
+func (list *List) remove(fingerprint uint64, record *record) {
+	delete(list.records, fingerprint)
+	if record.part {
+		list.parts--
+	}
 }
--- a/internal/route/blame/quarantine.go
+++ b/internal/route/blame/quarantine.go
@@ -3,10 +3,13 @@
 import (
 	"cmp"
 	"context"
+	"fmt"
 	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
+	"k8s.io/klog/v2"
 
 	"github.com/agatestage/agatestage"
 )
@@ -34,8 +37,9 @@
 	trialRetryAfter = time.Second
 )
 
-// Inquiry asks for permission to run a request on trial.
+// Inquiry asks for permission to run a request, or one with a part, on trial.
 type Inquiry struct {
+	// Fingerprint is that of the request or part.
 	Fingerprint uint64
 	// Call is the ID of the call that is to run.
 	Call string
@@ -43,6 +47,12 @@
 	Strikes []Strike
 }
 
+// Withdrawn returns what is to be reported to the others if the call won't run.
+func (inquiry Inquiry) Withdrawn() Strike {
+	// Requests and parts have different fingerprints.
+	return Strike{Released: inquiry.Fingerprint, Call: inquiry.Call}
+}
+
 // Permit reports whether the request may run on trial now. Of all processes that ask, one
 // at a time gets the permission.
 type Permit func(ctx context.Context, inquiry Inquiry) bool
@@ -59,11 +69,15 @@
 func (list *List) Suspect(fingerprint uint64) bool {
 	list.mutex.Lock()
 	defer list.mutex.Unlock()
+	return list.suspect(fingerprint)
+}
+
+func (list *List) suspect(fingerprint uint64) bool {
 	record := list.records[fingerprint]
 	if record == nil {
 		return false
 	}
-	_, unexplained := list.occasions(record)
+	_, unexplained := list.occasions(record, list.counted(fingerprint, record))
 	return unexplained > 0
 }
 
@@ -77,29 +91,103 @@
 }
 
 // Check returns a refusal if the call must not wait for a slot, as it could not be sent.
-func (list *List) Check(call *agatestage.Call) error { return list.Refuse(blamed(call)) }
+func (list *List) Check(call *agatestage.Call) error {
+	list.mutex.Lock()
+	defer list.mutex.Unlock()
+	_, err := list.checkCall(call)
+	return err
+}
 
 // Admit returns a refusal if the call must not be sent now. It updates whether the call is
 // a suspect or on trial, for which it may ask for permission.
 func (list *List) Admit(ctx context.Context, call *agatestage.Call) error {
-	fingerprint := blamed(call)
-	call.Suspect = list.Suspect(fingerprint)
 	list.mutex.Lock()
-	onTrial, err := list.check(fingerprint)
-	if err != nil || !onTrial || call.Trial {
+	call.Suspect = list.suspect(blamed(call)) || slices.ContainsFunc(call.Parts, func(part agatestage.Part) bool { return list.suspect(part.Fingerprint) })
+	onTrial, err := list.checkCall(call)
+	if err != nil || len(onTrial) == 0 || call.Trial {
 		list.mutex.Unlock()
 		return err
 	}
-	permit, inquiry := list.permit, list.inquiry(call)
+	permit := list.permit
+	var inquiries []Inquiry
+	for _, fingerprint := range onTrial {
+		inquiries = append(inquiries, list.inquiry(fingerprint, call))
+	}
 	list.mutex.Unlock()
-	if call.Trial = permit(ctx, inquiry); call.Trial {
-		return nil
+	for i, inquiry := range inquiries {
+		if call.Trial = permit(ctx, inquiry); call.Trial {
+			continue
+		}
+		// Another process that has permitted one of them hears nothing of its trial, which it
+		// takes for ended after trialTime.
+		for _, permitted := range inquiries[:i] {
+			list.Add(permitted.Withdrawn())
+		}
+		refusal := agatestage.Refuse(agatestage.CodeHarmful, "targets went down while they ran this request, which is on trial elsewhere")
+		refusal.RetryAfter = trialRetryAfter
+		return refusal
+	}
+	return nil
+}
+
+// checkCall returns what of a call, itself or parts of its prompt, may run on trial only, or a
+// refusal if the call may not run now. The mutex must be held.
+func (list *List) checkCall(call *agatestage.Call) (onTrial []uint64, err error) {
+	trial, err := list.check(blamed(call))
+	if err != nil {
+		return nil, err
+	}
+	if trial {
+		onTrial = append(onTrial, blamed(call))
+	}
+	for _, part := range call.Parts {
+		if trial, err = list.check(part.Fingerprint); err != nil {
+			return nil, list.refusePart(part, err)
+		}
+		if trial {
+			onTrial = append(onTrial, part.Fingerprint)
+		}
+	}
+	return onTrial, nil
+}
+
+// refusePart returns the refusal of a call with a part in quarantine, and logs the first.
+func (list *List) refusePart(part agatestage.Part, err error) error {
+	record := list.records[part.Fingerprint]
+	losses := list.counted(part.Fingerprint, record)
+	occasions, unexplained := list.occasions(record, losses)
+	var refusal *agatestage.Refusal
+	if !errors.As(err, &refusal) {
+		return err
+	}
+	refusal.Message = fmt.Sprintf("%d targets went down as they ran prompts with the part %s", len(losses), part.Name)
+	if !record.logged {
+		record.logged = true
+		klog.InfoS("part of prompts in quarantine", "part", part.Name, "fingerprint", Name(part.Fingerprint), "lost", len(losses), "first", losses[0].at,
+			"last", losses[len(losses)-1].at, "occasions", occasions, "counted", unexplained, "completed", record.completedAt, "retryAfter", refusal.RetryAfter)
 	}
-	refusal := agatestage.Refuse(agatestage.CodeHarmful, "targets went down while they ran this request, which is on trial elsewhere")
-	refusal.RetryAfter = trialRetryAfter
 	return refusal
 }
 
+// Quarantined returns the number of parts of prompts in quarantine, and since when the first
+// of them is.
+func (list *List) Quarantined() (parts int, since time.Time) {
+	list.mutex.Lock()
+	defer list.mutex.Unlock()
+	for fingerprint, record := range list.records {
+		if !record.part {
+			continue
+		}
+		if losses := list.counted(fingerprint, record); len(losses) >= quarantineLosses {
+			parts++
+			if since.IsZero() || losses[0].at.Before(since) {
+				since = losses[0].at
+			}
+		}
+	}
+	return parts, since
+}
+
 // PermitTrial decides on the inquiry of any process.
 func (list *List) PermitTrial(inquiry Inquiry) bool {
 	for _, strike := range inquiry.Strikes {
@@ -126,17 +214,18 @@
 	return slices.MaxFunc(names, func(a, b string) int { return cmp.Or(cmp.Compare(weight(a), weight(b)), cmp.Compare(a, b)) })
 }
 
-// inquiry returns the inquiry for a call. The mutex must be held.
-func (list *List) inquiry(call *agatestage.Call) Inquiry {
-	inquiry := Inquiry{Fingerprint: blamed(call), Call: call.ID}
-	if record := list.records[inquiry.Fingerprint]; record != nil {
-		inquiry.Strikes = list.evidence(inquiry.Fingerprint, record)
+// inquiry returns the inquiry for a call, of which a request or part may run on trial only. The
+// mutex must be held.
+func (list *List) inquiry(fingerprint uint64, call *agatestage.Call) Inquiry {
+	inquiry := Inquiry{Fingerprint: fingerprint, Call: call.ID}
+	if record := list.records[fingerprint]; record != nil {
+		inquiry.Strikes = list.evidence(fingerprint, record)
 	}
 	return inquiry
 }
 
-// check reports whether the request may run on trial only, or returns a refusal if it may
-// not run now. The mutex must be held.
+// check reports whether the request or part may run on trial only, or returns a refusal if it
+// may not run now. The mutex must be held.
 func (list *List) check(fingerprint uint64) (onTrial bool, err error) {
 	now := list.clock.Now()
 	list.expire(now)
@@ -144,11 +233,15 @@
 	if record == nil || len(record.losses) < quarantineLosses {
 		return false, nil
 	}
-	occasions, unexplained := list.occasions(record)
+	losses := list.counted(fingerprint, record)
+	if len(losses) < quarantineLosses {
+		return false, nil
+	}
+	occasions, unexplained := list.occasions(record, losses)
 	if record.pardoned() || unexplained < barringOccasions && record.completed() {
 		return false, nil
 	}
-	wait := record.last().Add(pause(occasions, unexplained)).Sub(now)
+	wait := losses[len(losses)-1].at.Add(pause(occasions, unexplained)).Sub(now)
 	if wait <= 0 {
 		return true, nil
 	}
@@ -157,18 +250,6 @@
 	return false, refusal
 }
 
-// last returns when the last target was lost.
-func (record *record) last() time.Time { return record.losses[len(record.losses)-1].at }
-
-// completed reports whether a target has completed the request since the last was lost.
-func (record *record) completed() bool { return record.completedAt.After(record.last()) }
-
-// pardoned reports whether a target has completed the request after it was refused for
-// the longest pause.
-func (record *record) pardoned() bool {
-	return record.completedAt.Sub(record.last()) >= barredTime
-}
-
 // pause returns how long after its last strike a request is refused.
 func pause(occasions, unexplained int) time.Duration {
 	switch {
@@ -187,13 +268,13 @@
 	return min(pause, barredTime)
 }
 
-// occasions returns on how many occasions targets were lost while running the request,
-// and how many of them the losses of other targets don't explain. Losses within
-// commonWindow are one occasion. A trial is one by itself, as it is run after the losses
-// before are known. The mutex must be held.
-func (list *List) occasions(record *record) (all, unexplained int) {
+// occasions returns on how many occasions targets were lost while running the request or a
+// part, of the given losses, and how many of them the losses of other targets don't explain.
+// Losses within commonWindow are one occasion. A trial is one by itself, as it is run after
+// the losses before are known. The mutex must be held.
+func (list *List) occasions(record *record, losses []loss) (all, unexplained int) {
 	var began time.Time
-	for i, loss := range record.losses {
+	for i, loss := range losses {
 		if i > 0 && !loss.trial && loss.at.Sub(began) < commonWindow {
 			continue
 		}
@@ -218,7 +299,7 @@
 	own := around(record.losses, at)
 	for _, other := range around(list.losses, at) {
 		sameTarget := func(loss loss) bool { return loss.target == other.target }
-		if !slices.ContainsFunc(own, other.same) && !slices.ContainsFunc(others, sameTarget) {
+		if !slices.ContainsFunc(own, other.same) && !slices.ContainsFunc(others, sameTarget) && !list.hasCertainCause(other, record) {
 			if others = append(others, other); len(others) == explainingTargets {
 				break
 			}
@@ -226,18 +307,3 @@
 	}
 	return others
 }
-
-// explaining returns the losses of others that explain those of the request, as few as
-// suffice for each. The mutex must be held.
-func (list *List) explaining(record *record) (explaining []loss) {
-	for _, loss := range record.losses {
-		others := list.others(record, loss.at)
-		if len(others) < explainingTargets {
-			continue
-		}
-		for _, other := range others {
-			explaining, _ = insert(explaining, other)
-		}
-	}
-	return explaining
-}
