side/exec: a stream that ends within an event is broken off

Gateways did so already (gate/relay finishStream).

Cause: sides judged an answer's end by its framing and by whether the target goes on. Change: they follow where events end, in streams with status 200. Ruled out: the gateways' scanner, which also checks numbers that these targets don't send.

--- a/internal/side/exec/exec.go
+++ b/internal/side/exec/exec.go
@@ -107,16 +107,21 @@
 	if err = runner.sink.Head(answer.Status, answer.Header); err != nil {
 		return err
 	}
+	stream := newStreamEnd(answer.Status, answer.Header)
 	pooled := buffers.Get().(*[chunkSize]byte)
 	defer buffers.Put(pooled)
 	buffer := pooled[:]
 	for {
 		n, readErr := answer.Body.Read(buffer)
 		if n > 0 {
+			stream.add(buffer[:n])
 			if err = runner.sink.Data(ctx, buffer[:n]); err != nil {
 				return err
 			}
 		}
+		if readErr == io.EOF && stream.partial() {
+			readErr = io.ErrUnexpectedEOF
+		}
 		if readErr == io.EOF && answer.EndsWithConnection {
 			if _, ended := runner.target.Confirm(ctx); ended {
 				readErr = io.ErrUnexpectedEOF
