route/blame: an item alone with a harmful part is sent few times, and stays owed

Cause: one request in flight at all losses explained them, also where it is an item, which isn't blamed itself. Now four losses under one item speak against the parts of its prompt that no completed request excuses. The item waits and is owed; it runs on trial after the pauses. An unlucky sound item whose parts others complete goes on at once.

--- a/internal/route/blame/blame.go
+++ b/internal/route/blame/blame.go
@@ -223,6 +223,7 @@
 	if !at.After(record.completedAt) {
 		return
 	}
+	record.weighed = false
 	completed, pardoned := record.completed(), record.pardoned()
 	if record.completedAt = at; completed != record.completed() || pardoned != record.pardoned() {
 		list.changed(record.own)
@@ -278,11 +279,13 @@
 
 // addCompletions records that targets have completed a request or parts.
 func (list *List) addCompletions(strike Strike, at time.Time) {
+	now := list.clock.Now()
 	if record := list.records[strike.Completed]; record != nil {
 		list.complete(strike.Completed, record, at)
 	}
 	for _, part := range strike.CompletedParts {
-		list.completions.add(part, at)
+		// The others have heard it, too.
+		list.completions.add(part, at).reported = now
 		if record := list.records[part]; record != nil {
 			list.complete(part, record, at)
 		}
@@ -315,6 +318,7 @@
 		found.trialUntil = time.Time{}
 	}
 	found.losses = found.losses[max(0, len(found.losses)-maxLosses):]
+	found.weighed = found.weighed && !added && !extended
 	if len(found.losses) >= quarantineLosses && (added || extended) {
 		list.changed(found.own)
 	}
@@ -356,9 +360,11 @@
 				life = repeatedLife
 			}
 		}
+		before := len(record.losses)
 		if record.losses = expireLosses(record.losses, now, life); len(record.losses) == 0 {
 			list.remove(fingerprint, record)
 		}
+		record.weighed = record.weighed && len(record.losses) == before
 	}
 	list.losses = expireLosses(list.losses, now, repeatedLife)
 }
--- a/internal/route/blame/evidence.go
+++ b/internal/route/blame/evidence.go
@@ -55,7 +55,7 @@
 	list.expire(list.clock.Now())
 	var fingerprints []uint64
 	for fingerprint, record := range list.records {
-		if len(record.losses) >= quarantineLosses && (!record.part || record.weight() > 0) {
+		if len(record.losses) >= quarantineLosses && len(list.counted(fingerprint, record)) >= quarantineLosses {
 			fingerprints = append(fingerprints, fingerprint)
 		}
 	}
--- a/internal/route/blame/parts.go
+++ b/internal/route/blame/parts.go
@@ -13,17 +13,19 @@
 	// completed every few seconds.
 	excuseTime = 10 * time.Second
 	// testifyPeriod is the time between two reports that the same part was completed here.
-	testifyPeriod = time.Second
+	testifyPeriod = 3 * time.Second
 	// maxCompletions bounds the parts of which it is known when they were completed.
 	maxCompletions = 32_000
 	// maxStruckParts bounds the parts in a strike, so that it fits into a packet.
 	maxStruckParts = 64
-	// certainLosses is the number of losses from which on a part is certainly harmful, so
-	// that they are no sign of another common cause.
+	// certainLosses is the number of losses from which on a part is certainly harmful: they
+	// are no sign of another common cause then, and speak against it also if one item was
+	// in flight at all of them.
 	certainLosses = 4
 )
 
-// completion is the last completion of a part in this process, and when that was reported.
+// completion is the last known completion of a part, and when it was last reported, by this or
+// another process.
 type completion struct {
 	at, reported time.Time
 }
@@ -35,8 +37,8 @@
 	began        time.Time
 }
 
-// add records that a part was completed.
-func (completions *completions) add(part uint64, at time.Time) {
+// add records that a part was completed, and returns what is known of that.
+func (completions *completions) add(part uint64, at time.Time) *completion {
 	if completions.newer == nil || len(completions.newer) >= maxCompletions/2 || at.Sub(completions.began) >= excuseTime {
 		completions.older, completions.newer, completions.began = completions.newer, make(map[uint64]*completion), at
 	}
@@ -48,6 +50,7 @@
 	if at.After(known.at) {
 		known.at = at
 	}
+	return known
 }
 
 // get returns the last completion of a part, or nil if none is known.
@@ -96,8 +99,7 @@
 	var completed []uint64
 	var oldest time.Time
 	for _, part := range strike.Parts {
-		known := list.completions.get(part)
-		if known != nil && lostAt.Sub(known.at) < excuseTime && now.Sub(known.reported) >= testifyPeriod {
+		if known := list.completions.get(part); known != nil && lostAt.Sub(known.at) < excuseTime && now.Sub(known.reported) >= testifyPeriod {
 			known.reported = now
 			completed = append(completed, part)
 			if oldest.IsZero() || known.at.Before(oldest) {
@@ -128,10 +130,17 @@
 	return record.losses[first:]
 }
 
-// weight returns the number of losses that speak against a part, or zero if one request was
-// in flight at all of them: then that request explains them.
-func (record *record) weight() int {
-	losses := record.unexcused()
+// weight returns the number of losses that speak against a part, or zero if one request that
+// is blamed itself was in flight at all of them. An item isn't blamed, so that many losses
+// under one speak against the parts of its prompt. The mutex must be held.
+func (list *List) weight(record *record) int {
+	if !record.weighed {
+		record.weighed, record.knownWeight = true, list.weigh(record.unexcused())
+	}
+	return record.knownWeight
+}
+
+func (list *List) weigh(losses []loss) int {
 	if len(losses) < quarantineLosses {
 		return 0
 	}
@@ -141,8 +150,8 @@
 			counts[request]++
 		}
 	}
-	for _, count := range counts {
-		if count == len(losses) {
+	for request, count := range counts {
+		if count == len(losses) && (list.records[request] != nil || len(losses) < certainLosses) {
 			return 0
 		}
 	}
@@ -154,7 +163,7 @@
 func (list *List) counted(fingerprint uint64, record *record) []loss {
 	losses, weight := record.losses, len(record.losses)
 	if record.part {
-		if weight = record.weight(); weight == 0 {
+		if weight = list.weight(record); weight == 0 {
 			return nil
 		}
 		losses = record.unexcused()
@@ -168,7 +177,7 @@
 			if part == fingerprint || other == nil {
 				return false
 			}
-			return other.outweighs(part, record, fingerprint, weight)
+			return list.outweighs(other, part, record, fingerprint, weight)
 		})
 	})
 }
@@ -176,17 +185,17 @@
 // outweighs reports whether a part explains losses that it has in common with a request or
 // another part. Of two parts with as many losses the one explains them that comes later in
 // prompts, as fewer requests have it in common.
-func (record *record) outweighs(fingerprint uint64, other *record, otherFingerprint uint64, otherWeight int) bool {
-	weight := record.weight()
+func (list *List) outweighs(part *record, partFingerprint uint64, other *record, fingerprint uint64, otherWeight int) bool {
+	weight := list.weight(part)
 	switch {
 	case weight == 0 || weight < otherWeight:
 		return false
 	case weight > otherWeight || !other.part:
 		return true
-	case record.depth != other.depth:
-		return record.depth > other.depth
+	case part.depth != other.depth:
+		return part.depth > other.depth
 	}
-	return fingerprint > otherFingerprint
+	return partFingerprint > fingerprint
 }
 
 // partsAt returns the parts that may have caused the loss of a target. The mutex must be held.
@@ -203,7 +212,7 @@
 func (list *List) hasCertainCause(lost loss, except *record) bool {
 	return slices.ContainsFunc(lost.parts, func(part uint64) bool {
 		record := list.records[part]
-		return record != nil && record != except && record.weight() >= certainLosses
+		return record != nil && record != except && record.part && list.weight(record) >= certainLosses
 	})
 }
 
--- a/internal/route/blame/parts_test.go
+++ b/internal/route/blame/parts_test.go
@@ -265,6 +265,37 @@
 	prompts.Expect(ok).To(gomega.BeTrue())
 }
 
+func TestItemWithAHarmfulPartIsSentFewTimesAndStaysOwed(t *testing.T) {
+	prompts := newPrompts(t, 3)
+	item := prompts.call("first", "harmful")
+	item.Batch = true
+	lost, owed := 0, false
+	for range int(partPlay / time.Second) {
+		prompts.complete(0, prompts.call("first"))
+		if owed = prompts.lists[lost%3].Admit(context.Background(), item) != nil; !owed {
+			prompts.lose(item, prompts.call("first"))
+			lost++
+		}
+		prompts.clock.Step(time.Second)
+	}
+	prompts.Expect(lost).To(gomega.BeNumerically("<=", countedFrom))
+	prompts.Expect(owed).To(gomega.BeTrue())
+	prompts.clock.Step(barredTime)
+	prompts.Expect(prompts.lists[1].Admit(context.Background(), item)).To(gomega.Succeed())
+}
+
+func TestItemWithASoundPartThatIsUnluckyIsRunWithoutAPause(t *testing.T) {
+	prompts := newPrompts(t, 3)
+	item := prompts.call("shared")
+	item.Batch = true
+	for i := range 10 {
+		prompts.Expect(prompts.lists[i%3].Admit(context.Background(), item)).To(gomega.Succeed())
+		prompts.lose(item)
+		prompts.complete(i, prompts.call("shared"))
+		prompts.clock.Step(2 * time.Second)
+	}
+}
+
 func TestHarmfulPartStaysKnownAfterTheEndOfAllThatKnewIt(t *testing.T) {
 	archives := newArchives(t)
 	prompts := newPrompts(t, 1)
--- a/internal/route/blame/record.go
+++ b/internal/route/blame/record.go
@@ -43,6 +43,9 @@
 	// completedAt is when a target has last completed the request in quarantine, or one with
 	// the part.
 	completedAt time.Time
+	// knownWeight is the weight of a part if weighed is true.
+	weighed     bool
+	knownWeight int
 	// trialUntil is when the last trial that this process has permitted ends at the latest,
 	// trialCall the ID of its call.
 	trialUntil time.Time
