route/blame: a harmful part stays known though all gateways end after each of its losses

What operators would see: requests with a harmful part that come rarely, while all gateways are killed between them, ended one target or two each time, without a bound: a part was kept in the store only once losses under several requests had put it into quarantine. The bound sums over restarts.

Where the record is full, those with a single loss give way, so that made-up parts don't crowd out a harmful one. Ruled out: saving at each loss (a write for every part in flight at each crash).

--- a/internal/route/blame/archive.go
+++ b/internal/route/blame/archive.go
@@ -294,13 +294,15 @@
 	}
 }
 
-// trim removes the requests with the oldest losses beyond a number.
+// trim removes requests and parts beyond a number: those with a single loss first, then those
+// with the oldest losses.
 func trim(stored map[string]archived, most int) {
 	if len(stored) <= most {
 		return
 	}
 	names := slices.SortedFunc(maps.Keys(stored), func(a, b string) int {
-		return cmp.Or(stored[b].last().Compare(stored[a].last()), cmp.Compare(a, b))
+		several := func(name string) int { return min(len(stored[name].Losses), quarantineLosses) }
+		return cmp.Or(several(b)-several(a), stored[b].last().Compare(stored[a].last()), cmp.Compare(a, b))
 	})
 	for _, name := range names[most:] {
 		delete(stored, name)
@@ -346,11 +348,7 @@
 	list.expire(list.clock.Now())
 	requests := make(map[string]archived)
 	for fingerprint, record := range list.records {
-		if len(record.losses) < quarantineLosses || !record.own && !owns(fingerprint) {
-			continue
-		}
-		// What was lost beside a harmful part, or is completed by others, needs no record.
-		if record.held = record.held || len(list.counted(fingerprint, record)) >= quarantineLosses; record.held {
+		if (record.own || owns(fingerprint)) && list.kept(fingerprint, record) {
 			requests[Name(fingerprint)] = archived{}.merge(list.archived(record))
 		}
 	}
--- a/internal/route/blame/blame.go
+++ b/internal/route/blame/blame.go
@@ -319,8 +319,13 @@
 	}
 	found.losses = found.losses[max(0, len(found.losses)-maxLosses):]
 	found.weighed = found.weighed && !added && !extended
-	if len(found.losses) >= quarantineLosses && (added || extended) {
+	switch {
+	case !added && !extended:
+	case len(found.losses) >= quarantineLosses:
 		list.changed(found.own)
+	case part:
+		// It is kept if nothing excuses it by the next check.
+		list.changed(false)
 	}
 	return added
 }
--- a/internal/route/blame/parts.go
+++ b/internal/route/blame/parts.go
@@ -168,20 +168,40 @@
 		}
 		losses = record.unexcused()
 	}
+	return list.withoutExplained(fingerprint, record, losses, weight)
+}
+
+// withoutExplained returns the losses of a request or part with a weight that no other part
+// explains. The mutex must be held.
+func (list *List) withoutExplained(fingerprint uint64, record *record, losses []loss, weight int) []loss {
 	if list.parts == 0 {
 		return losses
 	}
 	return slices.DeleteFunc(slices.Clone(losses), func(loss loss) bool {
 		return slices.ContainsFunc(list.partsAt(loss), func(part uint64) bool {
 			other := list.records[part]
-			if part == fingerprint || other == nil {
-				return false
-			}
-			return list.outweighs(other, part, record, fingerprint, weight)
+			return part != fingerprint && other != nil && list.outweighs(other, part, record, fingerprint, weight)
 		})
 	})
 }
 
+// kept reports whether the store is to have what is known of a request or part: of a request
+// in quarantine, and of a part also if only one target was lost with it, or one request was in
+// flight each time, once there was time for others to complete it. The mutex must be held.
+func (list *List) kept(fingerprint uint64, record *record) bool {
+	switch {
+	case record.held:
+	case !record.part:
+		// A request that was lost beside a harmful part needs no record.
+		record.held = len(list.counted(fingerprint, record)) >= quarantineLosses
+	default:
+		losses := record.unexcused()
+		record.held = len(losses) > 0 && (list.weight(record) > 0 || list.clock.Since(losses[0].at) >= checkDelay) &&
+			len(list.withoutExplained(fingerprint, record, losses, len(losses))) > 0
+	}
+	return record.held
+}
+
 // outweighs reports whether a part explains losses that it has in common with a request or
 // another part. Of two parts with as many losses the one explains them that comes later in
 // prompts, as fewer requests have it in common.
--- a/internal/route/blame/record.go
+++ b/internal/route/blame/record.go
@@ -52,8 +52,8 @@
 	trialCall  string
 	// own is true if this process has found out part of it.
 	own bool
-	// held is true if the request has been in quarantine, logged if this process has logged
-	// that a part is.
+	// held is true once the store is to have the record, logged if this process has logged
+	// that a part is in quarantine.
 	held   bool
 	logged bool
 }
