--- a/internal/gate/gossip/strikes_test.go
+++ b/internal/gate/gossip/strikes_test.go
@@ -22,6 +22,15 @@
 	}
 }
 
+// prompt returns a call of its own with parts of a prompt.
+func prompt(fingerprint uint64, names ...string) *agatestage.Call {
+	call := &agatestage.Call{Fingerprint: fingerprint}
+	for _, name := range names {
+		call.Parts = append(call.Parts, agatestage.NewPart(name))
+	}
+	return call
+}
+
 // expectBarred checks that a gateway refuses the harmful request.
 func expectBarred(gateway *played) {
 	ginkgo.GinkgoHelper()
@@ -91,4 +100,24 @@
 			gomega.Expect(gateway.source.list.Refuse(harmful)).To(gomega.Succeed(), gateway.name)
 		}
 	})
+	for _, count := range []int{4, 60} {
+		ginkgo.It(fmt.Sprintf("bar a harmful part at all gateways, and no part that one of them has completed, in a fleet of %d", count), func() {
+			fleet := playFleet(count)
+			fleet.play(2 * time.Second)
+			last := fleet.gateways[count-1]
+			_, _ = last.source.list.Complete(prompt(1, "first", "rare"))
+			for i := range uint64(4) {
+				first := fleet.gateways[i%3]
+				for j, part := range []string{"harmful", "rare"} {
+					first.mesh.BroadcastStrike(first.source.list.Charge(prompt(10+2*i+uint64(j), "first", part), fmt.Sprint("target-", i)))
+				}
+				fleet.play(200 * time.Millisecond)
+			}
+			fleet.play(2 * time.Second)
+			for i, gateway := range fleet.gateways {
+				gomega.Expect(gateway.source.list.Check(prompt(100+uint64(i), "first", "harmful"))).NotTo(gomega.Succeed(), gateway.name)
+				gomega.Expect(gateway.source.list.Check(prompt(200+uint64(i), "first", "rare"))).To(gomega.Succeed(), gateway.name)
+			}
+		})
+	}
 })
