route/blame, gate/relay, entry/relay: sound parts of long runs aren't barred when targets crash for another cause

What callers saw: batch items that were left lying.

Cause: only whole answers showed a part to be sound, and each occasion lengthened its pause. Change: a target that has written events of an answer for 2 s shows the parts of its prompt to be sound, as a harmful part crashes targets when they begin to write; only trials under which a target went down lengthen a part's pause, and such a trial, or four losses, comes before the longest. Losses that a part has certainly caused need such a trial, too. On entries the same. Ruled out: leaving items out (one with a harmful part crashes targets without a bound); a longer excuse by completions (none comes for as long as the storms last).

--- a/internal/entry/relay/reader.go
+++ b/internal/entry/relay/reader.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"net/http"
 	"sync/atomic"
 	"time"
 
 	"k8s.io/utils/clock"
 
 	"github.com/agatestage/agatestage"
+	"github.com/agatestage/agatestage/internal/route/blame"
 	"github.com/agatestage/agatestage/internal/wire/calls"
 	"github.com/agatestage/agatestage/internal/wire/link"
 )
@@ -19,8 +21,13 @@
 	timeouts Timeouts
 	sink     Sink
 	cancel   context.CancelFunc
-	// id is the call's ID, which the head and the end of its answer must have.
-	id string
+	// id is the call's ID, which the head and the end of its answer must have. survived is
+	// called when the target has written a successful answer for blame.SurvivalTime, and again
+	// after each further one.
+	id       string
+	survived func()
+	// writing is since when the target has written data, or when survived was last called.
+	writing time.Time
 	// load is the target's load as reported with the answer's end.
 	load     *agatestage.Load
 	timedOut atomic.Bool
@@ -57,11 +64,25 @@
 				result.refusal = unknownOutcome(ctx, "the caller went away")
 				return result
 			}
+			reader.noteData(result.status)
 		}
 		reader.resetTimeout(watchdog)
 	}
 }
 
+// noteData notes that a part of the answer's body has come.
+func (reader *reader) noteData(status int) {
+	now := reader.relay.clock.Now()
+	switch {
+	case status >= http.StatusMultipleChoices:
+	case reader.writing.IsZero():
+		reader.writing = now
+	case now.Sub(reader.writing) >= blame.SurvivalTime:
+		reader.writing = now
+		reader.survived()
+	}
+}
+
 // endOutcome returns the outcome that the side reported with the answer's end.
 func (reader *reader) endOutcome(answerPart calls.AnswerPart, result outcome) outcome {
 	reader.load = &answerPart.End.Load
--- a/internal/entry/relay/reader_test.go
+++ b/internal/entry/relay/reader_test.go
@@ -101,7 +101,8 @@
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
 	reader := reader{
-		relay: &Relay{clock: clock}, stream: stream, timeouts: timeouts, sink: sink, id: ownID,
+		survived: func() {},
+		relay:    &Relay{clock: clock}, stream: stream, timeouts: timeouts, sink: sink, id: ownID,
 		cancel: func() { stop(); stream.Abort() },
 	}
 	return reader.read(ctx)
--- a/internal/entry/relay/relay.go
+++ b/internal/entry/relay/relay.go
@@ -212,6 +212,15 @@
 	}
 }
 
+// reportSurvival records that the target has written an answer to the call for so long that the
+// parts of its prompt are sound, and reports it to the other entries if they were suspects.
+func (relay *Relay) reportSurvival(ctx context.Context, call *agatestage.Call) {
+	if survival, ok := relay.blame.Survive(call); ok {
+		klog.InfoS("target has written on suspected parts for long", "call", call.ID, "parts", blame.Names(survival.CompletedParts))
+		go relay.strike(context.WithoutCancel(ctx), survival)
+	}
+}
+
 // releaseTrial lets another call of the request run on trial, if this one was on trial.
 func (relay *Relay) releaseTrial(ctx context.Context, call *agatestage.Call) {
 	if released, ok := relay.blame.Release(call); ok {
@@ -288,7 +297,8 @@
 	if deadline, ok := ctx.Deadline(); ok {
 		request.Call.Timeout = deadline.Sub(relay.clock.Now())
 	}
-	reader := reader{relay: relay, stream: stream, timeouts: timeouts, sink: sink, cancel: cancel, id: request.Call.ID}
+	survived := func() { relay.reportSurvival(ctx, call) }
+	reader := reader{relay: relay, stream: stream, timeouts: timeouts, sink: sink, cancel: cancel, id: request.Call.ID, survived: survived}
 	if err = stream.Send(request); err != nil {
 		result.refusal = unknownOutcome(ctx, "the call was cut off on its way to the target")
 		result.linkLost = ctx.Err() == nil
--- a/internal/entry/start/start.go
+++ b/internal/entry/start/start.go
@@ -116,7 +116,7 @@
 
 func newRelay(node *link.Node, fleet *fleet.Fleet, router agatestage.Router, list *blame.List, mesh *peers.Mesh, clock agatestage.Clock) *relay.Relay {
 	list.SetPermit(mesh.PermitTrial)
-	list.SetTestimony(func(strike blame.Strike) { go mesh.Strike(context.Background(), strike) })
+	list.SetReport(func(strike blame.Strike) { go mesh.Strike(context.Background(), strike) })
 	blame.RegisterMetrics(list, clock)
 	return relay.New(node, fleet, router, list, clock, relay.WithStrikes(mesh.Strike))
 }
--- a/internal/gate/gossip/fleet_test.go
+++ b/internal/gate/gossip/fleet_test.go
@@ -187,7 +187,7 @@
 	}
 	endpoint := &endpoint{network: fleet.network, address: self.Address}
 	mesh := gossip.New(endpoint, roster, fmt.Sprint(self.Name, "-", process), fleet.clock, source, gossip.WithRandom(fleet.network.random.IntN))
-	source.list.SetTestimony(mesh.BroadcastStrike)
+	source.list.SetReport(mesh.BroadcastStrike)
 	return &played{name: self.Name, mesh: mesh, source: source, endpoint: endpoint, roster: roster}
 }
 
--- a/internal/gate/relay/attempt.go
+++ b/internal/gate/relay/attempt.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -202,6 +203,8 @@
 	defer share.hold.Release()
 	// kept is how much of the stream stays in memory behind the scanner.
 	kept := 0
+	// writing is since when the target has written events, or when that was last reported.
+	var writing time.Time
 	for {
 		n, readErr := response.Read(buffer)
 		if n > 0 {
@@ -214,6 +217,7 @@
 			if scanner.events > before {
 				// Only whole events are progress: a stalled target may send comments or
 				// single bytes for ever.
+				writing = run.reportSurvival(writing)
 				watchdog.reservation.RecordProgress()
 				watchdog.extend(run.plan.Gap * silenceFactor)
 			}
--- a/internal/gate/relay/parts_test.go
+++ b/internal/gate/relay/parts_test.go
@@ -4,12 +4,14 @@
 	"context"
 	"fmt"
 	"net/http"
+	"time"
 
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
 
 	"github.com/agatestage/agatestage"
 	"github.com/agatestage/agatestage/internal/gate/relay"
+	"github.com/agatestage/agatestage/internal/route/blame"
 )
 
 // sendPrompt sends a call of its own with parts of a prompt.
@@ -65,6 +67,29 @@
 		gomega.Expect(other.Status).To(gomega.Equal(http.StatusUnprocessableEntity))
 		gomega.Expect(fixture.sendPrompt(11, attempts(1), "harmful").Refusal.Code).To(gomega.Equal(agatestage.CodeHarmful))
 	})
+	ginkgo.It("isn't one whose targets end after they have written for seconds", func() {
+		var targets []*target
+		for range 3 {
+			var ending *target
+			ending = newTarget(func(exchange *exchange) bool {
+				exchange.events(1, 1)
+				<-time.After(blame.SurvivalTime + 100*time.Millisecond)
+				exchange.write("%x\r\n%s\r\n", len(event(2)), event(2))
+				_ = ending.listener.Close()
+				return false
+			})
+			targets = append(targets, ending)
+		}
+		sound := newTarget(func(exchange *exchange) bool { return exchange.respond(http.StatusOK, "good") })
+		fixture := newFixture(append(targets, sound)...)
+		for id := uint64(1); id <= 3; id++ {
+			plan := stream()
+			plan.Resumable, plan.Attempts, plan.Gap = false, 1, time.Minute
+			expectRefusal(fixture.sendPrompt(id, plan, "long"), agatestage.RanUnknown)
+			fixture.expectStruck(targets)
+		}
+		gomega.Expect(fixture.sendPrompt(4, attempts(1), "long").Refusal).To(gomega.BeNil())
+	})
 	ginkgo.It("is no fault of parts and calls that are completed beside it", func() {
 		sound := newTarget(func(exchange *exchange) bool { return exchange.respond(http.StatusOK, "good") })
 		fixture := newFixture(sound)
--- a/internal/gate/relay/relay.go
+++ b/internal/gate/relay/relay.go
@@ -276,6 +276,23 @@
 	}
 }
 
+// reportSurvival records that the target has written events since a time. If it has for long
+// enough that the parts of the call's prompt are sound, it reports them to the other gateways.
+func (run *run) reportSurvival(since time.Time) time.Time {
+	now := run.clock.Now()
+	if since.IsZero() {
+		return now
+	}
+	if now.Sub(since) < blame.SurvivalTime {
+		return since
+	}
+	if survival, ok := run.blame.Survive(run.call); ok {
+		klog.InfoS("target has written on suspected parts for long", "call", run.call.ID, "parts", blame.Names(survival.CompletedParts))
+		run.strike(survival)
+	}
+	return now
+}
+
 // releaseTrial lets another call of the request run on trial, if this one was on trial.
 func (run *run) releaseTrial() {
 	if released, ok := run.blame.Release(run.call); ok {
--- a/internal/gate/start/wire.go
+++ b/internal/gate/start/wire.go
@@ -120,7 +120,7 @@
 
 func newRelay(clock agatestage.Clock, scheduler *sched.Scheduler, pool *conns.Pool, adapter Adapter, blameList *blame.List, mesh *gossip.Mesh) *relay.Relay {
 	blameList.SetPermit(mesh.PermitTrial)
-	blameList.SetTestimony(mesh.BroadcastStrike)
+	blameList.SetReport(mesh.BroadcastStrike)
 	blame.RegisterMetrics(blameList, clock)
 	return relay.New(clock, scheduler, pool, adapter, blameList, relay.WithStrikes(mesh.BroadcastStrike))
 }
--- a/internal/route/blame/blame.go
+++ b/internal/route/blame/blame.go
@@ -14,8 +14,9 @@
 // What takes a target down may also be a part of the prompt, which requests have in common
 // that are otherwise different. So the parts of a prompt get strikes like the request
 // itself. A part counts as suspect only once targets have gone down under several
-// requests with it, and none has completed a request with it since or just before: sound
-// parts are completed all the time, also while a harmful one is about. Of the parts that
+// requests with it, and none has completed a request with it since or just before, or has
+// written an answer to one for SurvivalTime: that happens to sound parts all the time, also
+// while a harmful one is about. Of the parts that
 // were on the same targets the one with the most losses explains those of the others and
 // of the requests.
 //
@@ -124,25 +125,25 @@
 	// changed is called with the mutex held when what is known of a request in quarantine
 	// has changed; own is that of its record.
 	changed func(own bool)
-	// testify is called with the mutex held to report to the others that a part has been
+	// report is called with the mutex held to report to the others that a part has been
 	// completed here.
-	testify func(Strike)
+	report func(Strike)
 }
 
 // New returns an empty list. Trials are permitted by the list itself until SetPermit is
 // called.
 func New(clock agatestage.Clock) *List {
-	list := &List{clock: clock, records: make(map[uint64]*record), changed: func(bool) {}, testify: func(Strike) {}}
+	list := &List{clock: clock, records: make(map[uint64]*record), changed: func(bool) {}, report: func(Strike) {}}
 	list.permit = func(_ context.Context, inquiry Inquiry) bool { return list.PermitTrial(inquiry) }
 	return list
 }
 
-// SetTestimony sets the function that reports to the others that a part for which a strike
+// SetReport sets the function that reports to the others that a part for which a strike
 // was received has been completed here. It must not block or call the list.
-func (list *List) SetTestimony(testify func(Strike)) {
+func (list *List) SetReport(report func(Strike)) {
 	list.mutex.Lock()
 	defer list.mutex.Unlock()
-	list.testify = testify
+	list.report = report
 }
 
 // blamed returns the fingerprint by which losses are attributed to the call itself.
@@ -172,21 +173,38 @@
 func (list *List) Complete(call *agatestage.Call) (completion Strike, ok bool) {
 	list.mutex.Lock()
 	defer list.mutex.Unlock()
+	completion.CompletedParts = list.completeParts(call)
+	if record := list.records[blamed(call)]; record != nil && len(record.losses) >= quarantineLosses {
+		record.own = true
+		list.complete(blamed(call), record, list.clock.Now())
+		completion.Completed = blamed(call)
+	}
+	return completion, completion.completes()
+}
+
+// Survive records that a target has written an answer to the call for SurvivalTime, which shows
+// the parts of its prompt to be sound like a completion. If one has strikes, it returns what is
+// to be reported to the others.
+func (list *List) Survive(call *agatestage.Call) (survival Strike, ok bool) {
+	list.mutex.Lock()
+	defer list.mutex.Unlock()
+	survival.CompletedParts = list.completeParts(call)
+	return survival, survival.completes()
+}
+
+// completeParts records that the parts of a call's prompt are sound, and returns those with
+// strikes. The mutex must be held.
+func (list *List) completeParts(call *agatestage.Call) (suspects []uint64) {
 	now := list.clock.Now()
 	for _, part := range call.Parts {
 		list.completions.add(part.Fingerprint, now)
 		if record := list.records[part.Fingerprint]; record != nil && len(record.unexcused()) > 0 {
 			record.own = true
 			list.complete(part.Fingerprint, record, now)
-			completion.CompletedParts = append(completion.CompletedParts, part.Fingerprint)
+			suspects = append(suspects, part.Fingerprint)
 		}
 	}
-	if record := list.records[blamed(call)]; record != nil && len(record.losses) >= quarantineLosses {
-		record.own = true
-		list.complete(blamed(call), record, now)
-		completion.Completed = blamed(call)
-	}
-	return completion, completion.completes()
+	return suspects
 }
 
 func (strike Strike) completes() bool {
--- a/internal/route/blame/parts.go
+++ b/internal/route/blame/parts.go
@@ -12,15 +12,18 @@
 	// takes targets down does so each time, and sound ones that requests have in common are
 	// completed every few seconds.
 	excuseTime = 10 * time.Second
-	// testifyPeriod is the time between two reports that the same part was completed here.
-	testifyPeriod = 3 * time.Second
+	// SurvivalTime is how long a target has to write an answer until that shows the parts of
+	// its prompt to be sound: one that takes targets down does so as they begin to write.
+	SurvivalTime = 2 * time.Second
+	// reportPeriod is the time between two reports that the same part was completed here.
+	reportPeriod = 3 * time.Second
 	// maxCompletions bounds the parts of which it is known when they were completed.
 	maxCompletions = 32_000
 	// maxStruckParts bounds the parts in a strike, so that it fits into a packet.
 	maxStruckParts = 64
-	// certainLosses is the number of losses from which on a part is certainly harmful: they
-	// are no sign of another common cause then, and speak against it also if one item was
-	// in flight at all of them.
+	// certainLosses is the number of losses from which on a part is harmful without doubt if
+	// one of them came on trial, so that they are no sign of another common cause, or if
+	// nothing else explains them. They speak against it also if one item was in flight at all.
 	certainLosses = 4
 )
 
@@ -99,7 +102,7 @@
 	var completed []uint64
 	var oldest time.Time
 	for _, part := range strike.Parts {
-		if known := list.completions.get(part); known != nil && lostAt.Sub(known.at) < excuseTime && now.Sub(known.reported) >= testifyPeriod {
+		if known := list.completions.get(part); known != nil && lostAt.Sub(known.at) < excuseTime && now.Sub(known.reported) >= reportPeriod {
 			known.reported = now
 			completed = append(completed, part)
 			if oldest.IsZero() || known.at.Before(oldest) {
@@ -111,7 +114,7 @@
 		}
 	}
 	if len(completed) > 0 {
-		list.testify(Strike{CompletedParts: completed, Age: now.Sub(oldest)})
+		list.report(Strike{CompletedParts: completed, Age: now.Sub(oldest)})
 	}
 	return parts
 }
@@ -232,7 +235,7 @@
 func (list *List) hasCertainCause(lost loss, except *record) bool {
 	return slices.ContainsFunc(lost.parts, func(part uint64) bool {
 		record := list.records[part]
-		return record != nil && record != except && record.part && list.weight(record) >= certainLosses
+		return record != nil && record != except && record.part && list.weight(record) >= certainLosses && lostTrials(record.unexcused()) > 0
 	})
 }
 
--- a/internal/route/blame/parts_test.go
+++ b/internal/route/blame/parts_test.go
@@ -49,7 +49,7 @@
 func (prompts *prompts) newList() *List {
 	list := New(prompts.clock)
 	list.SetPermit(func(_ context.Context, inquiry Inquiry) bool { return prompts.lists[0].PermitTrial(inquiry) })
-	list.SetTestimony(func(strike Strike) { go prompts.tell(strike) })
+	list.SetReport(func(strike Strike) { go prompts.tell(strike) })
 	return list
 }
 
@@ -296,6 +296,57 @@
 	}
 }
 
+func TestSoundPartOfLongRunsIsFreeSoonAfterManyCrashes(t *testing.T) {
+	// Items run for 6 s. Three bursts of crashes, 6 s apart, end all of them; a target that
+	// has written for SurvivalTime shows their part to be sound.
+	const period, bursts = 6 * time.Second, 3
+	prompts := newPrompts(t, 4)
+	for range bursts {
+		var running []*agatestage.Call
+		for i := range 8 {
+			call := prompts.call("shared")
+			if call.Batch = true; prompts.lists[i%4].Admit(context.Background(), call) == nil {
+				running = append(running, call)
+			}
+		}
+		prompts.clock.Step(SurvivalTime)
+		for i, call := range running[:min(2, len(running))] {
+			if survival, ok := prompts.lists[i%4].Survive(call); ok {
+				prompts.tell(survival)
+			}
+		}
+		prompts.clock.Step(period - SurvivalTime)
+		for i := range 5 {
+			prompts.lose(running[i%max(1, len(running)):]...)
+			prompts.lose(prompts.call(fmt.Sprint("other-", i)))
+			prompts.clock.Step(400 * time.Millisecond)
+		}
+	}
+	call := prompts.call("shared")
+	call.Batch = true
+	prompts.Expect(prompts.lists[0].Admit(context.Background(), call)).To(gomega.Succeed())
+}
+
+func TestPartThatOthersExplainEachTimeIsOnTrialAfterAShortPause(t *testing.T) {
+	prompts := newPrompts(t, 2)
+	for range 4 {
+		prompts.lose(prompts.call("rare"))
+		prompts.lose(prompts.call("rare"))
+		for i := range 3 {
+			prompts.lose(prompts.call(fmt.Sprint("other-", i)))
+		}
+		prompts.clock.Step(commonWindow + time.Second)
+	}
+	prompts.clock.Step(firstPause)
+	call, ok := prompts.admit(1, "rare")
+	prompts.Expect(ok).To(gomega.BeTrue())
+	survival, ok := prompts.lists[1].Survive(call)
+	prompts.Expect(ok).To(gomega.BeTrue())
+	prompts.tell(survival)
+	_, ok = prompts.admit(0, "rare")
+	prompts.Expect(ok).To(gomega.BeTrue())
+}
+
 func TestHarmfulPartStaysKnownAfterTheEndOfAllThatKnewIt(t *testing.T) {
 	archives := newArchives(t)
 	prompts := newPrompts(t, 1)
--- a/internal/route/blame/quarantine.go
+++ b/internal/route/blame/quarantine.go
@@ -241,7 +241,11 @@
 	if record.pardoned() || unexplained < barringOccasions && record.completed() {
 		return false, nil
 	}
-	wait := losses[len(losses)-1].at.Add(pause(occasions, unexplained)).Sub(now)
+	pause := pause(occasions, unexplained)
+	if record.part {
+		pause = partPause(occasions, unexplained, losses)
+	}
+	wait := losses[len(losses)-1].at.Add(pause).Sub(now)
 	if wait <= 0 {
 		return true, nil
 	}
@@ -268,6 +272,34 @@
 	return min(pause, barredTime)
 }
 
+// partPause returns how long after its last strike a part is refused. Many requests have it in
+// common, so that it is among those in flight whenever several targets go down: only trials under
+// which a target went down lengthen the pause.
+func partPause(occasions, unexplained int, losses []loss) time.Duration {
+	trials := lostTrials(losses)
+	switch {
+	case unexplained >= barringOccasions && (trials > 0 || len(losses) >= certainLosses):
+		return barredTime
+	case unexplained == 0 && occasions == 1 && trials == 0:
+		return 0
+	}
+	pause := firstPause
+	for ; trials > 0 && pause < barredTime; trials-- {
+		pause *= pauseFactor
+	}
+	return min(pause, barredTime)
+}
+
+// lostTrials returns how many of the losses came on trial.
+func lostTrials(losses []loss) (trials int) {
+	for _, loss := range losses {
+		if loss.trial {
+			trials++
+		}
+	}
+	return trials
+}
+
 // occasions returns on how many occasions targets were lost while running the request or a
 // part, of the given losses, and how many of them the losses of other targets don't explain.
 // Losses within commonWindow are one occasion. A trial is one by itself, as it is run after
