--- a/internal/entry/relay/reader_test.go
+++ b/internal/entry/relay/reader_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"strings"
 	"testing"
@@ -13,6 +14,7 @@
 
 	"github.com/agatestage/agatestage"
 	"github.com/agatestage/agatestage/internal/fake/nodes"
+	"github.com/agatestage/agatestage/internal/route/blame"
 	"github.com/agatestage/agatestage/internal/trust/certs"
 	"github.com/agatestage/agatestage/internal/wire/calls"
 	"github.com/agatestage/agatestage/internal/wire/link"
@@ -101,9 +103,11 @@
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
 	reader := reader{
-		survived: func() {},
-		relay:    &Relay{clock: clock}, stream: stream, timeouts: timeouts, sink: sink, id: ownID,
-		cancel: func() { stop(); stream.Abort() },
+		relay: &Relay{clock: clock}, stream: stream, timeouts: timeouts, sink: sink, id: ownID,
+		cancel: func() { stop(); stream.Abort() }, survived: func() {},
+	}
+	if slowSink, ok := sink.(*slowSink); ok {
+		reader.survived = func() { slowSink.survived++ }
 	}
 	return reader.read(ctx)
 }
@@ -113,6 +117,8 @@
 	sink
 	clock *clocktest.FakeClock
 	pause time.Duration
+	// survived counts how often the target had written for blame.SurvivalTime.
+	survived int
 }
 
 func (slowSink *slowSink) Data(data []byte) error {
@@ -166,6 +172,20 @@
 		gomega.Expect(sink.text).To(gomega.Equal(strings.Repeat(text, slowParts)))
 	})
 
+	for status, pause := range map[int]time.Duration{http.StatusOK: blame.SurvivalTime, http.StatusBadRequest: blame.SurvivalTime, http.StatusAccepted: blame.SurvivalTime / 100} {
+		ginkgo.It(fmt.Sprintf("with status %d whose parts come each %v tells whether its target writes on the prompt for long", status, pause), func() {
+			sink := &slowSink{clock: clocktest.NewFakeClock(time.Unix(1000, 0)), pause: pause}
+			begin := calls.AnswerPart{ID: ownID, Head: &calls.Head{Status: status}}
+			result := readInto(sink, sink.clock, Timeouts{FirstByte: time.Minute, Between: time.Minute}, false, begin, data, data, data, end(ownID))
+			gomega.Expect(result.refusal).To(gomega.BeNil())
+			want := 0
+			if status == http.StatusOK {
+				want = 2
+			}
+			gomega.Expect(sink.survived).To(gomega.Equal(want))
+		})
+	}
+
 	ginkgo.It("that stalls times out", func() {
 		result, _ := read(true, head(ownID), data)
 		expectUnknown(result, true)
