--- a/internal/entry/front/body.go
+++ b/internal/entry/front/body.go
@@ -88,7 +88,7 @@
 	return digest.Sum64()
 }
 
-// maxParts bounds the messages of a chat that are told apart; those beyond it are ignored.
+// maxParts bounds the messages of a chat that count as parts; those beyond it are ignored.
 const maxParts = 256
 
 // parts returns the messages of a chat but the last: chats have in common what they began
--- a/internal/route/blame/blame.go
+++ b/internal/route/blame/blame.go
@@ -302,7 +302,7 @@
 		list.complete(strike.Completed, record, at)
 	}
 	for _, part := range strike.CompletedParts {
-		// The others have heard it, too.
+		// The reporter has sent it to all others, too.
 		list.completions.add(part, at).reported = now
 		if record := list.records[part]; record != nil {
 			list.complete(part, record, at)
--- a/internal/route/blame/parts.go
+++ b/internal/route/blame/parts.go
@@ -240,7 +240,7 @@
 }
 
 // makeRoom reports whether a record may be added. Of parts, as callers may make up any
-// number, those with a single loss give way.
+// number, those with a single loss are dropped first.
 func (list *List) makeRoom(part bool) bool {
 	if !part {
 		return len(list.records)-list.parts < maxRecords
--- a/internal/route/blame/quarantine.go
+++ b/internal/route/blame/quarantine.go
@@ -118,8 +118,7 @@
 		if call.Trial = permit(ctx, inquiry); call.Trial {
 			continue
 		}
-		// Another process that has permitted one of them hears nothing of its trial, which it
-		// takes for ended after trialTime.
+		// At another process that has permitted one of them, that trial ends after trialTime.
 		for _, permitted := range inquiries[:i] {
 			list.Add(permitted.Withdrawn())
 		}
