--- a/review/1/main.go
+++ b/review/1/main.go
@@ -1,4 +1,4 @@
-// Command 1 shows that one caller's Agatestage-Expect-Version takes all engines of a service
+// Command 1 shows that one caller's expected version of weights takes all engines of a service
 // out of use, so that the items of an accepted batch job never run.
 package main
 
@@ -45,7 +45,7 @@
 	}
 	headers := map[string]string{}
 	if kit.Trouble() {
-		headers["Agatestage-Expect-Version"] = strconv.Itoa(expectedVersion)
+		headers[kit.Name("expectVersion")] = strconv.Itoa(expectedVersion)
 	}
 	// Each request is sent once more at another node after a 503, as the sheet says.
 	ask(fleet, "expecting-1", headers, fleet.Gateways[0], fleet.Gateways[1])
@@ -92,7 +92,7 @@
 // ask sends a stream request, at the next gateway after each answer that promises that it
 // hasn't run.
 func ask(fleet *kit.Fleet, id string, headers map[string]string, gateways ...*kit.Gateway) {
-	all := map[string]string{"Agatestage-Model": "m", "Agatestage-Token-Usage": "540,60", "Agatestage-Deadline-Ms": "5000"}
+	all := map[string]string{kit.Name("model"): "m", kit.Name("usage"): "540,60", kit.Name("deadline"): "5000"}
 	for name, value := range headers {
 		all[name] = value
 	}
--- a/review/3/main.go
+++ b/review/3/main.go
@@ -42,10 +42,10 @@
 	west, engine := fleet.Gateways[westGatewayAt], fleet.Engines[westEngine]
 	job := kit.Job("job", jobItems, bodyBytes)
 	for i := range job {
-		job[i].Headers["Agatestage-Token-Usage"] = fmt.Sprintf("250,%d", shortTokens)
+		job[i].Headers[kit.Name("usage")] = fmt.Sprintf("250,%d", shortTokens)
 	}
 	last := &job[jobItems-1]
-	last.Headers["Agatestage-Token-Usage"] = fmt.Sprintf("250,%d", lastTokens)
+	last.Headers[kit.Name("usage")] = fmt.Sprintf("250,%d", lastTokens)
 	submitted := time.Now()
 	if fleet.Submit(west, "job", job).Status != http.StatusAccepted {
 		fleet.Record.Add("can't run: the job isn't accepted")
--- a/review/kit/client.go
+++ b/review/kit/client.go
@@ -27,7 +27,7 @@
 	request.Host, request.Close = Host, true
 	request.Header.Set("X-Api-Key", Key)
 	if id != "" {
-		request.Header.Set("Agatestage-Attempt-Id", id)
+		request.Header.Set(Name("attempt"), id)
 	}
 	for name, value := range header {
 		request.Header.Set(name, value)
@@ -60,7 +60,7 @@
 		body := bytes.Repeat([]byte{byte('a' + i%26)}, bodyBytes)
 		list = append(list, BatchItem{
 			ID: fmt.Sprintf("%s-%d", id, i), Path: BatchPrefix + strconv.Itoa(i), Body: body, Tokens: 940,
-			Headers: map[string]string{"Agatestage-Model": "m", "Agatestage-Token-Usage": "540,400", "Agatestage-Prefix-Hash": fmt.Sprintf("9c2e41:300,%x:240", i+1)},
+			Headers: map[string]string{Name("model"): "m", Name("usage"): "540,400", Name("prefix"): fmt.Sprintf("9c2e41:300,%x:240", i+1)},
 		})
 	}
 	return list
@@ -89,7 +89,7 @@
 func (fleet *Fleet) Read(gateway *Gateway, id string) (states map[string]string, total int, answer Answer) {
 	states = make(map[string]string)
 	for after := 0; ; {
-		answer = fleet.Call(gateway, http.MethodGet, fmt.Sprintf("/v1/lots/%s?after=%d", id, after), "", nil, nil, 5*time.Second)
+		answer = fleet.Call(gateway, http.MethodGet, fmt.Sprintf("%s%s?after=%d", Name("jobs"), id, after), "", nil, nil, 5*time.Second)
 		if answer.Status != http.StatusOK {
 			return states, total, answer
 		}
--- a/review/kit/engine.go
+++ b/review/kit/engine.go
@@ -129,17 +129,17 @@
 }
 
 func (engine *Engine) serve(writer http.ResponseWriter, request *http.Request) {
-	id, header := request.Header.Get("Agatestage-Attempt-Id"), writer.Header()
-	header.Set("Agatestage-Instance-Id", engine.ID)
-	header.Set("Agatestage-Weight-Versions", strconv.Itoa(engine.Version))
+	id, header := request.Header.Get(Name("attempt")), writer.Header()
+	header.Set(Name("instance"), engine.ID)
+	header.Set(Name("versions"), strconv.Itoa(engine.Version))
 	if request.URL.Path == "/health" {
 		return
 	}
-	header.Set("Agatestage-Attempt-Id", id)
+	header.Set(Name("attempt"), id)
 	if _, err := io.Copy(io.Discard, request.Body); err != nil {
 		return
 	}
-	expected, version := request.Header.Get("Agatestage-Expect-Instance"), request.Header.Get("Agatestage-Expect-Version")
+	expected, version := request.Header.Get(Name("expectInstance")), request.Header.Get(Name("expectVersion"))
 	if expected != "" && expected != engine.ID || version != "" && version != strconv.Itoa(engine.Version) {
 		engine.mutex.Lock()
 		engine.turned++
@@ -149,14 +149,14 @@
 		return
 	}
 	if !engine.admit(request) {
-		header.Set("Agatestage-Not-Executed", "1")
+		header.Set(Name("notExecuted"), "1")
 		writer.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
 	defer func() { <-engine.slots }()
 	engine.begin(id)
 	defer engine.end(id)
-	header.Set("Agatestage-Response-Seal", "seal."+id)
+	header.Set(Name("seal"), "seal."+id)
 	header.Set("Content-Type", "text/event-stream")
 	engine.stream(writer, request, id)
 }
@@ -243,7 +243,7 @@
 	if engine.Events > 0 {
 		return engine.Events
 	}
-	_, output, _ := strings.Cut(request.Header.Get("Agatestage-Token-Usage"), ",")
+	_, output, _ := strings.Cut(request.Header.Get(Name("usage")), ",")
 	tokens, _ := strconv.Atoi(output)
 	return max(1, tokens/stride)
 }
--- a/review/kit/fleet.go
+++ b/review/kit/fleet.go
@@ -297,7 +297,7 @@
 	for _, service := range services {
 		list = append(list, map[string]any{"name": service, "health_path": "/health", "max_connections": 300, "protocol": "h1", "tls": false, "engine": map[string]any{"slots": 8, "kv_capacity_tokens": 134354}})
 	}
-	fleet.Store.Put("op/config", map[string]any{
+	fleet.Store.Put(Name("config"), map[string]any{
 		"version": version, "routes": routes, "services": list,
 		"limits":  map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
 		"tenants": []map[string]any{{"name": Tenant, "api_keys": []string{Key}}},
@@ -308,7 +308,7 @@
 // BatchRoute returns the route of batch jobs of the site, centre-batch.
 func BatchRoute(service string) Route {
 	return Route{
-		"name": "r-batch", "host": Host, "path_prefix": BatchPrefix, "route_type": "batch", "service": service, "timeout_ms": 15000, "target_latency_ms": 500,
+		"name": "r-batch", "host": Host, "path_prefix": BatchPrefix, Name("kind"): "batch", "service": service, "timeout_ms": 15000, "target_latency_ms": 500,
 		"priority": 2, "max_attempts": 3, "public": false, "session_affinity": true, "resumable": true, "gap_aim_ms": 400,
 		"result_deadline_ms": 18000, "max_wait_s": 60,
 	}
@@ -317,7 +317,7 @@
 // StreamRoute returns the route of the site's heat-nudge.
 func StreamRoute(service string) Route {
 	return Route{
-		"name": "r-stream", "host": Host, "path_prefix": StreamPrefix, "route_type": "streaming", "service": service, "timeout_ms": 5000, "target_latency_ms": 300,
+		"name": "r-stream", "host": Host, "path_prefix": StreamPrefix, Name("kind"): "streaming", "service": service, "timeout_ms": 5000, "target_latency_ms": 300,
 		"priority": 0, "max_attempts": 2, "public": false, "session_affinity": true, "resumable": true, "gap_aim_ms": 400,
 	}
 }
--- a/review/kit/judge.go
+++ b/review/kit/judge.go
@@ -56,7 +56,7 @@
 }
 
 // JudgeLost checks the rule LOST for items of open batch jobs after finish_s: it is broken
-// if an item is listed neither as completed nor as dead_letter, though no engine had an
+// if an item is listed neither as completed nor as given up, though no engine had an
 // unlisted item of the job in the last 5 s and the engines were under half full. It returns
 // the exit code.
 func (fleet *Fleet) JudgeLost(id string, job []BatchItem, calm Calm) int {
--- a/review/kit/store.go
+++ b/review/kit/store.go
@@ -77,9 +77,9 @@
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /v1/kv-key", store.get)
-	mux.HandleFunc("GET /v1/kv-range", store.list)
-	mux.HandleFunc("GET /v1/kv-watch", store.watch)
-	mux.HandleFunc("POST /v1/kv-txn", store.transact)
+	mux.HandleFunc(Name("range"), store.list)
+	mux.HandleFunc(Name("watch"), store.watch)
+	mux.HandleFunc(Name("transaction"), store.transact)
 	mux.HandleFunc("POST /v1/kv-lease", store.grant)
 	mux.HandleFunc("POST /v1/kv-keep/{id}", store.keep)
 	mux.HandleFunc("DELETE /v1/kv-lease-end/{id}", store.end)
