gate/relay: one caller's expected version of weights no longer takes targets out of use

Cause: a 421 has two meanings, the address belongs to another incarnation or the weights have another version, and the dialect took each for the first. The relay then marked the target as replaced for all calls, did not count the rejection, and so one call went through all targets of the service. The mark ended only when some record of the list changed, which in a steady fleet never happens.

Change: the dialect tells "replaced" from "mismatched" by what the call expects. A mismatched rejection shows a replaced target only if the answer names another incarnation, or states just the version that was expected. Otherwise the target is left by this call alone, and the rejection counts. A mark as replaced ends after 5 s by itself if the target is still listed.

--- a/endpoint.go
+++ b/endpoint.go
@@ -37,6 +37,14 @@
 	ClaimsNotRun bool
 	// Replaced means that another incarnation now listens on the address.
 	Replaced bool
+	// Mismatched means that the target rejected the call as it isn't what the call expects:
+	// another incarnation listens on the address, or its weights have another version.
+	Mismatched bool
+	// Instance is the ID of the incarnation that answered; empty if the answer lacks it.
+	Instance string
+	// Weights is what the target states of the weights of the call's model; Version is empty
+	// if it states nothing.
+	Weights Weights
 	// Sealed means that the answer carries the target's own seal.
 	Sealed bool
 	// Leaving means that the target states that it is shutting down and should get no
@@ -54,6 +62,9 @@
 	// Parts returns the parts of a prompt that other calls may have in common, as the
 	// header of a call states them.
 	Parts(header http.Header) []Part
+	// ExpectedWeights returns the weights that a call with this header has to run on;
+	// Version is empty if any will do.
+	ExpectedWeights(header http.Header) Weights
 	// Inspect interprets the head of an answer to the call.
 	Inspect(call *Call, status int, header http.Header) AnswerInfo
 }
--- a/internal/gate/relay/attempt.go
+++ b/internal/gate/relay/attempt.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"k8s.io/klog/v2"
 
 	"github.com/agatestage/agatestage"
 	"github.com/agatestage/agatestage/internal/gate/conns"
@@ -55,7 +56,7 @@
 		run.sched.MarkLeaving(reservation.Target)
 		run.conns.CloseIdle(reservation.Target.Address)
 	}
-	if info.NotRun || info.Replaced {
+	if info.NotRun || info.Replaced || info.Mismatched {
 		return run.rejected(reservation, response, info)
 	}
 	run.attempts++
@@ -139,15 +140,33 @@
 func (run *run) rejected(reservation *sched.Reservation, response *conns.TargetResponse, info agatestage.AnswerInfo) outcome {
 	// What the rest of the response says doesn't matter to the call, which waits.
 	response.Discard(maxResponseBytes, minRemaining)
-	if info.Replaced {
+	switch {
+	case run.isReplaced(info, reservation.Target):
+		klog.InfoS("another incarnation has the target's address", "call", run.call.ID, "target", reservation.Target.ID, "address", reservation.Target.Address, "other", info.Instance)
 		reservation.MarkReplaced()
 		end := notRun(agatestage.CodeNoTarget, "another incarnation has the address of target %s", reservation.Target.ID)
 		end.gone = true
 		return end
+	case info.Mismatched:
+		return notRun(agatestage.CodeNoTarget, "target %s doesn't have version %s of the weights", reservation.Target.ID, run.call.Weights.Version)
 	}
 	return notRun(agatestage.CodeBusy, "target %s turned the call away with status %d", reservation.Target.ID, response.Status)
 }
 
+// isReplaced reports whether a rejection shows that another incarnation has the target's
+// address. Without the other's ID it does so only for a call that expects no more of the
+// target, or whose expectation is met. What one caller expects must not take targets out of
+// use that are sound for others.
+func (run *run) isReplaced(info agatestage.AnswerInfo, endpoint agatestage.Endpoint) bool {
+	switch {
+	case !info.Replaced && !info.Mismatched:
+		return false
+	case info.Instance != "":
+		return info.Instance != endpoint.ID
+	}
+	return info.Replaced || info.Weights.Version != "" && info.Weights == run.call.Weights
+}
+
 // complete reads a response to its end before forwarding any of it.
 func (run *run) complete(ctx context.Context, response *conns.TargetResponse, watchdog *watchdog) outcome {
 	body, err := run.readBody(ctx, response)
--- a/internal/gate/relay/probe.go
+++ b/internal/gate/relay/probe.go
@@ -112,11 +112,11 @@
 	return errors.Is(err, syscall.ECONNREFUSED)
 }
 
-// Watch probes stalled targets, and ends what they stated too long ago, until ctx ends.
+// Watch probes stalled targets, and ends what is known of targets for too long, until ctx ends.
 func (relay *Relay) Watch(ctx context.Context) error {
 	last := relay.clock.Now()
 	return ticks.Every(ctx, relay.clock, stallCheckInterval, func(context.Context) {
-		relay.sched.ExpireLeaving()
+		relay.sched.Expire()
 		// If this process itself was suspended, silence says nothing about the
 		// targets.
 		since := relay.clock.Since(last)
--- a/internal/gate/relay/relay.go
+++ b/internal/gate/relay/relay.go
@@ -198,7 +198,7 @@
 func (relay *Relay) Serve(ctx context.Context, call *agatestage.Call, plan Plan, sink Sink) Result {
 	ctx, cancel := context.WithTimeout(ctx, plan.Deadline.Sub(relay.clock.Now()))
 	defer cancel()
-	call.Parts = relay.dialect.Parts(call.Header)
+	call.Parts, call.Weights = relay.dialect.Parts(call.Header), relay.dialect.ExpectedWeights(call.Header)
 	run := &run{Relay: relay, call: call, plan: plan, sink: sink}
 	run.result.LastEventID = plan.ResumeAfter
 	run.serve(ctx)
--- a/internal/gate/relay/relay_test.go
+++ b/internal/gate/relay/relay_test.go
@@ -43,6 +43,7 @@
 	headerMark    = "Mark"
 	headerNotRun  = "Not-Run"
 	headerLeaving = "Leaving"
+	headerExpect  = "Expect"
 )
 
 // fixture is a relay and its targets, the first of which is tried first.
--- a/internal/gate/relay/target_test.go
+++ b/internal/gate/relay/target_test.go
@@ -32,6 +32,10 @@
 	return parts
 }
 
+func (dialect) ExpectedWeights(header http.Header) agatestage.Weights {
+	return agatestage.Weights{Version: header.Get(headerExpect)}
+}
+
 func (dialect) Inspect(_ *agatestage.Call, status int, header http.Header) agatestage.AnswerInfo {
 	return agatestage.AnswerInfo{
 		CallIDs: header[headerID], NotRun: header.Get(headerNotRun) != "",
--- a/internal/gate/sched/health.go
+++ b/internal/gate/sched/health.go
@@ -108,17 +108,44 @@
 	}
 }
 
+// replacedTTL is how long a target is left out that seems to have been replaced and is still
+// listed: longer than three heartbeat intervals of 1.2 s, after which the platform removes
+// the record of a target that has ended. It bounds the loss if the answer was wrong.
+const replacedTTL = 5 * time.Second
+
 // MarkReplaced stops using the target's incarnation, whose address belongs to another
-// one now, until the list of targets is updated.
+// one now, until the list of targets is updated or replacedTTL has passed.
 func (reservation *Reservation) MarkReplaced() {
 	scheduler := reservation.scheduler
 	scheduler.mutex.Lock()
 	defer scheduler.mutex.Unlock()
 	if target := scheduler.currentTarget(reservation); target != nil {
-		target.Draining = true
+		target.replacedUntil = scheduler.clock.Now().Add(replacedTTL)
 	}
 }
 
+// replaced reports whether the target's address seems to belong to another incarnation.
+func (target *target) replaced() bool { return !target.replacedUntil.IsZero() }
+
+// expireReplaced uses targets again that seemed to have been replaced replacedTTL ago. The
+// mutex must be held.
+func (scheduler *Scheduler) expireReplaced(now time.Time) {
+	for _, target := range scheduler.targets {
+		if target.replaced() && !now.Before(target.replacedUntil) {
+			target.replacedUntil = time.Time{}
+			scheduler.dispatch(scheduler.serviceState(target.Service), now)
+		}
+	}
+}
+
+// Expire ends what is known of targets and has not been stated again for too long.
+func (scheduler *Scheduler) Expire() {
+	scheduler.ExpireLeaving()
+	scheduler.mutex.Lock()
+	defer scheduler.mutex.Unlock()
+	scheduler.expireReplaced(scheduler.clock.Now())
+}
+
 // Backoff returns the delay before the n-th probe of an unreachable target.
 func Backoff(n int) time.Duration {
 	return min(maxBackoff, minBackoff<<min(n, 8))
--- a/internal/gate/sched/health_test.go
+++ b/internal/gate/sched/health_test.go
@@ -1,6 +1,8 @@
 package sched_test
 
 import (
+	"time"
+
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
 
@@ -32,4 +34,15 @@
 		fixture.acquireOnline("local-1", "region-0", "remote-0").MarkReplaced()
 		fixture.expectRefused(sched.Request{QueueTimeout: queueTimeout, Exclude: []string{"local-1", "region-0", "remote-0"}}, agatestage.CodeNoTarget)
 	})
+	ginkgo.It("goes to a target again that seemed to be replaced and stays listed, though nothing changes", func() {
+		fixture := newFixture()
+		others := []string{"local-1", "region-0", "remote-0"}
+		fixture.acquireOnline(others...).MarkReplaced()
+		fixture.clock.Step(4 * time.Second)
+		fixture.Expire()
+		fixture.expectRefused(sched.Request{QueueTimeout: queueTimeout, Exclude: others}, agatestage.CodeNoTarget)
+		fixture.clock.Step(time.Second)
+		fixture.Expire()
+		gomega.Expect(fixture.acquireOnline(others...).Target.ID).To(gomega.Equal("local-0"))
+	})
 })
--- a/internal/gate/sched/leaving.go
+++ b/internal/gate/sched/leaving.go
@@ -82,15 +82,15 @@
 	}
 }
 
-// Endpoints returns the listed targets. Those that have stated that they are leaving
-// are draining.
+// Endpoints returns the listed targets. Those that have stated that they are leaving, or
+// seem to have been replaced, are draining.
 func (scheduler *Scheduler) Endpoints() []agatestage.Endpoint {
 	scheduler.mutex.Lock()
 	defer scheduler.mutex.Unlock()
 	endpoints := make([]agatestage.Endpoint, 0, len(scheduler.targets))
 	for _, target := range scheduler.targets {
 		endpoint := target.Endpoint
-		endpoint.Draining = endpoint.Draining || target.leaving
+		endpoint.Draining = target.ends()
 		endpoints = append(endpoints, endpoint)
 	}
 	return endpoints
--- a/internal/gate/sched/queue.go
+++ b/internal/gate/sched/queue.go
@@ -121,7 +121,7 @@
 	for _, queue := range []*[]*waiter{&service.online, &service.moves} {
 		*queue = slices.DeleteFunc(*queue, func(waiting *waiter) bool {
 			stranded := !waiting.request.Batch && !waiting.hasSlot && !slices.ContainsFunc(service.targets, func(target *target) bool {
-				return !target.Draining && !target.leaving && !slices.Contains(waiting.request.Exclude, target.ID)
+				return !target.ends() && !slices.Contains(waiting.request.Exclude, target.ID)
 			})
 			if stranded {
 				close(waiting.reservation)
--- a/internal/gate/sched/sched.go
+++ b/internal/gate/sched/sched.go
@@ -204,6 +204,7 @@
 		known := scheduler.relist(previous[endpoint.ID], endpoint)
 		known.Endpoint = endpoint
 		known.tier, known.home, known.leaving = scheduler.tierOf(endpoint), scheduler.homes[endpoint.ID], scheduler.isLeaving(endpoint)
+		known.replacedUntil = time.Time{}
 		scheduler.targets[endpoint.ID] = known
 		service := scheduler.serviceState(endpoint.Service)
 		service.targets = append(service.targets, known)
--- a/internal/gate/sched/target.go
+++ b/internal/gate/sched/target.go
@@ -53,6 +53,9 @@
 	silentSince time.Time
 	// leaving is true if the target has stated that it is leaving.
 	leaving bool
+	// replacedUntil is until when the target is left out since another incarnation
+	// answered at its address; zero if none has.
+	replacedUntil time.Time
 	// respondingCalls is the number of this gateway's calls on which the target has
 	// sent something; progressed is when it last did on any of them.
 	respondingCalls int
@@ -135,13 +138,18 @@
 
 // usable reports whether the target may receive calls.
 func (target *target) usable() bool {
-	return !target.Draining && !target.leaving && !target.down && !target.suspect
+	return !target.ends() && !target.down && !target.suspect
+}
+
+// ends reports whether the target is draining, leaving or replaced, and so gets no more calls.
+func (target *target) ends() bool {
+	return target.Draining || target.leaving || target.replaced()
 }
 
 // returning reports whether the target can't be used at the moment but may be sound.
 func (target *target) returning(now time.Time) bool {
 	switch {
-	case target.Draining || target.leaving:
+	case target.ends():
 		return false
 	case target.down:
 		return !target.silentSince.IsZero() && now.Sub(target.silentSince) < silenceTolerance
--- a/target.go
+++ b/target.go
@@ -54,6 +54,15 @@
 	// Parts holds the parts of the prompt that other calls may have in common, in their
 	// order. Only the process that routes the call uses them.
 	Parts []Part `cbor:"-"`
+	// Weights is what the target's weights have to be; its version is empty if any will do.
+	// Only the process that routes the call uses it.
+	Weights Weights `cbor:"-"`
+}
+
+// Weights is a version of the weights of a model.
+type Weights struct {
+	Model   string
+	Version string
 }
 
 // Part is a part of a prompt, such as a document or an earlier message of a chat.
