gate/sched: calls that expect a version of the weights go to targets that have it

Cause: nothing was kept of what engines state about their weights, neither in answers nor in the list.

Options ruled out: asking engines for their report (charged, and known anyway from answers); telling the other gateways (each learns it from its own answers, and a stale copy would keep calls away from sound engines); refusing once a single engine has rejected the version.

Change: the scheduler keeps, of each target, what its answers, its rejections and its record in the list say of the weights: 8 statements at most, for 5 s each, whatever models and versions callers name. Only calls that expect a version go by it: known holders first, rejecting targets not at all, refused at once as not run if none is left. A target that rejects a call for its weights is tried by the next target within the same run, 16 at most, also for items.

--- a/endpoint.go
+++ b/endpoint.go
@@ -3,6 +3,8 @@
 import (
 	"net/http"
 	"net/netip"
+	"reflect"
+	"slices"
 	"time"
 )
 
@@ -22,6 +24,17 @@
 	Draining bool
 	// Started is the start time of the incarnation; zero if the registry lacks it.
 	Started time.Time
+	// Weights lists the models that the target has loaded; empty if the registry lacks them.
+	Weights []Weights
+}
+
+// Equal reports whether two endpoints are the same in all fields.
+func (endpoint Endpoint) Equal(other Endpoint) bool {
+	if !slices.Equal(endpoint.Weights, other.Weights) {
+		return false
+	}
+	endpoint.Weights, other.Weights = nil, nil
+	return reflect.DeepEqual(endpoint, other)
 }
 
 // AnswerInfo is what the head of a target's answer reveals about the call.
--- a/internal/gate/feeds/targets.go
+++ b/internal/gate/feeds/targets.go
@@ -224,7 +224,7 @@
 		delete(targets.decoded, record.Key)
 		return used
 	}
-	if targets.decoded[record.Key] == endpoint {
+	if targets.decoded[record.Key].Equal(endpoint) {
 		return false
 	}
 	klog.InfoS("target listed", "target", endpoint.ID, "service", endpoint.Service, "address", endpoint.Address, "zone", endpoint.Zone,
--- a/internal/gate/relay/attempt.go
+++ b/internal/gate/relay/attempt.go
@@ -56,6 +56,9 @@
 		run.sched.MarkLeaving(reservation.Target)
 		run.conns.CloseIdle(reservation.Target.Address)
 	}
+	if !run.isReplaced(info, reservation.Target) {
+		reservation.RecordWeights(info.Weights)
+	}
 	if info.NotRun || info.Replaced || info.Mismatched {
 		return run.rejected(reservation, response, info)
 	}
@@ -148,7 +151,10 @@
 		end.gone = true
 		return end
 	case info.Mismatched:
-		return notRun(agatestage.CodeNoTarget, "target %s doesn't have version %s of the weights", reservation.Target.ID, run.call.Weights.Version)
+		reservation.RecordMismatch(run.call.Weights)
+		end := notRun(agatestage.CodeNoTarget, "target %s doesn't have version %s of the weights", reservation.Target.ID, run.call.Weights.Version)
+		end.mismatched = true
+		return end
 	}
 	return notRun(agatestage.CodeBusy, "target %s turned the call away with status %d", reservation.Target.ID, response.Status)
 }
--- a/internal/gate/relay/relay.go
+++ b/internal/gate/relay/relay.go
@@ -35,6 +35,9 @@
 	// silent, before the call is refused. Those that are gone don't count: no call tries
 	// them again.
 	maxRejections = 4
+	// maxMismatches is the same for targets whose weights aren't those that the call expects. Each
+	// is tried once only by all calls of this gateway until it may have other weights.
+	maxMismatches = 16
 	// maxResponseBytes bounds a response that is buffered until it is complete, and
 	// keptBytes all that is kept of responses at a time beyond that of one, in a process. The
 	// smallest gateways have 184 MB.
@@ -158,6 +161,8 @@
 	// listens at its address, or another incarnation does.
 	notRun bool
 	gone   bool
+	// mismatched is true if it hasn't run since the target's weights aren't those expected.
+	mismatched bool
 	// refusal describes what went wrong.
 	refusal *agatestage.Refusal
 	// buffered is an error response of the target, which is forwarded if no later
@@ -188,6 +193,7 @@
 	next       *sched.Reservation
 	placed     int
 	rejections int
+	mismatches int
 	attempts   int
 	// trialRan is true if a target may still run the call on trial.
 	trialRan    bool
@@ -248,9 +254,12 @@
 			}
 			return
 		}
-		if end.silent || end.dropped {
+		switch {
+		case end.silent || end.dropped:
 			run.spare = append(run.spare, reservation.Target.ID)
-		} else {
+		case end.mismatched && run.plan.Batch:
+			// The target may have the expected weights later in a run of an item.
+		default:
 			run.exclude = append(run.exclude, reservation.Target.ID)
 		}
 		if end.buffered != nil {
@@ -343,7 +352,7 @@
 	return sched.Request{
 		Service: run.plan.Service, Batch: run.plan.Batch, Priority: run.plan.Priority,
 		QueueTimeout: min(run.plan.QueueTimeout, run.plan.Deadline.Sub(run.clock.Now())),
-		Exclude:      exclude, Due: run.plan.Due, ExpectedDuration: run.plan.ExpectedDuration,
+		Exclude:      exclude, Weights: run.call.Weights, Due: run.plan.Due, ExpectedDuration: run.plan.ExpectedDuration,
 	}
 }
 
@@ -361,10 +370,14 @@
 		// A batch call is retried by its job, which may use this target again. It
 		// uses few targets, so a retry here would wait for a target that it may not
 		// use.
-		if !end.gone {
+		switch {
+		case end.gone:
+		case end.mismatched:
+			run.mismatches++
+		default:
 			run.rejections++
 		}
-		return run.rejections < maxRejections && (!run.plan.Batch || run.next != nil)
+		return run.rejections < maxRejections && run.mismatches < maxMismatches && (!run.plan.Batch || run.next != nil || end.mismatched)
 	}
 	if !run.plan.Repeatable || (run.result.ResponseStarted && !run.plan.Resumable) {
 		return false
--- a/internal/gate/sched/health.go
+++ b/internal/gate/sched/health.go
@@ -143,7 +143,9 @@
 	scheduler.ExpireLeaving()
 	scheduler.mutex.Lock()
 	defer scheduler.mutex.Unlock()
-	scheduler.expireReplaced(scheduler.clock.Now())
+	now := scheduler.clock.Now()
+	scheduler.expireReplaced(now)
+	scheduler.expireWeights(now)
 }
 
 // Backoff returns the delay before the n-th probe of an unreachable target.
--- a/internal/gate/sched/place.go
+++ b/internal/gate/sched/place.go
@@ -90,7 +90,7 @@
 	}
 	homes, free := 0, 0
 	for _, target := range service.targets {
-		if !target.home || !target.expected(now) || slices.Contains(request.Exclude, target.ID) {
+		if !target.home || !target.expected(now) || !target.suits(request) {
 			continue
 		}
 		homes++
@@ -147,12 +147,16 @@
 
 // leastLoaded returns the target with the smallest share of its slots in use, among
 // those that match and have at least minFree free slots, and one of them at random if
-// several are equal. Targets that fail many calls come last.
+// several are equal. Targets that are known to have the expected weights come first, and
+// those that fail many calls last.
 func (service *serviceState) leastLoaded(request Request, now time.Time, minFree func(*target) int, match func(*target) bool) (chosen *target) {
 	if len(service.targets) == 0 {
 		return nil
 	}
 	preferred := func(a, b *target) bool {
+		if a.has(request.Weights) != b.has(request.Weights) {
+			return a.has(request.Weights)
+		}
 		if a.unreliable(now) != b.unreliable(now) {
 			return b.unreliable(now)
 		}
--- a/internal/gate/sched/queue.go
+++ b/internal/gate/sched/queue.go
@@ -57,11 +57,11 @@
 
 // expectedWait returns the expected time until a call with so many calls ahead of
 // it gets a slot.
-func (service *serviceState) expectedWait(ahead int, now time.Time) time.Duration {
+func (service *serviceState) expectedWait(request Request, ahead int, now time.Time) time.Duration {
 	slots, returningSlots := 0, 0
 	for _, target := range service.targets {
 		switch {
-		case target.tier == tierRemote:
+		case target.tier == tierRemote, target.lacks(request.Weights):
 		case target.usable():
 			slots += max(0, target.Slots-target.remoteCalls(now).Online)
 		case target.returning(now):
@@ -86,11 +86,11 @@
 			ahead++
 		}
 	}
-	expectedWait := service.expectedWait(ahead, now)
+	expectedWait := service.expectedWait(request, ahead, now)
 	var refusal *agatestage.Refusal
 	switch {
-	case !slices.ContainsFunc(service.targets, func(target *target) bool { return target.expected(now) && !slices.Contains(request.Exclude, target.ID) }):
-		return service.noTarget(request.Service)
+	case !slices.ContainsFunc(service.targets, func(target *target) bool { return target.expected(now) && target.suits(request) }):
+		return service.noTarget(request)
 	case expectedWait > request.QueueTimeout:
 		refusal = agatestage.Refuse(agatestage.CodeBusy, "all slots of service %s are taken and %d calls wait", request.Service, ahead)
 	default:
@@ -101,8 +101,11 @@
 }
 
 // noTarget returns the refusal of a call that no target can serve.
-func (service *serviceState) noTarget(name string) *agatestage.Refusal {
-	refusal := agatestage.Refuse(agatestage.CodeNoTarget, "no target of service %s can be used", name)
+func (service *serviceState) noTarget(request Request) *agatestage.Refusal {
+	refusal := agatestage.Refuse(agatestage.CodeNoTarget, "no target of service %s can be used", request.Service)
+	if slices.ContainsFunc(service.targets, func(target *target) bool { return target.lacks(request.Weights) }) {
+		refusal = agatestage.Refuse(agatestage.CodeNoTarget, "no target of service %s that can be used is known to have version %s of the weights", request.Service, request.Weights.Version)
+	}
 	refusal.RetryAfter = max(minRetryAfter, service.meanHold)
 	return refusal
 }
@@ -111,17 +114,17 @@
 func (scheduler *Scheduler) strandedRefusal(waiting *waiter) *agatestage.Refusal {
 	scheduler.mutex.Lock()
 	defer scheduler.mutex.Unlock()
-	return scheduler.serviceState(waiting.request.Service).noTarget(waiting.request.Service)
+	return scheduler.serviceState(waiting.request.Service).noTarget(waiting.request)
 }
 
 // refuseStranded refuses the waiting online calls for which no target is left but those
-// that are leaving; unreachable ones may come back in time. Batch calls wait for the
+// that are leaving or have other weights than expected; unreachable ones may come back in time. Batch calls wait for the
 // next target, and calls that have a slot keep it. The mutex must be held.
 func (service *serviceState) refuseStranded() {
 	for _, queue := range []*[]*waiter{&service.online, &service.moves} {
 		*queue = slices.DeleteFunc(*queue, func(waiting *waiter) bool {
 			stranded := !waiting.request.Batch && !waiting.hasSlot && !slices.ContainsFunc(service.targets, func(target *target) bool {
-				return !target.ends() && !slices.Contains(waiting.request.Exclude, target.ID)
+				return !target.ends() && target.suits(waiting.request)
 			})
 			if stranded {
 				close(waiting.reservation)
--- a/internal/gate/sched/sched.go
+++ b/internal/gate/sched/sched.go
@@ -69,6 +69,8 @@
 	RecoveryTimeout time.Duration
 	// Exclude holds the IDs of targets that must not be used.
 	Exclude []string
+	// Weights is what the target's weights have to be; its version is empty if any will do.
+	Weights agatestage.Weights
 	// Due orders batch calls; ExpectedDuration is how long the call is expected to
 	// hold its slot.
 	Due              time.Time
@@ -202,6 +204,9 @@
 	}
 	for _, endpoint := range endpoints {
 		known := scheduler.relist(previous[endpoint.ID], endpoint)
+		if !slices.Equal(known.Weights, endpoint.Weights) {
+			known.stateListed(endpoint.Weights, scheduler.clock.Now())
+		}
 		known.Endpoint = endpoint
 		known.tier, known.home, known.leaving = scheduler.tierOf(endpoint), scheduler.homes[endpoint.ID], scheduler.isLeaving(endpoint)
 		known.replacedUntil = time.Time{}
@@ -305,7 +310,7 @@
 	}
 	scheduler.mutex.Lock()
 	left := service.dequeue(waiting)
-	expectedWait := service.expectedWait(len(service.online), scheduler.clock.Now())
+	expectedWait := service.expectedWait(waiting.request, len(service.online), scheduler.clock.Now())
 	scheduler.mutex.Unlock()
 	if !left {
 		// The slot was assigned at the same moment.
--- a/internal/gate/sched/target.go
+++ b/internal/gate/sched/target.go
@@ -56,6 +56,8 @@
 	// replacedUntil is until when the target is left out since another incarnation
 	// answered at its address; zero if none has.
 	replacedUntil time.Time
+	// weights holds what the target has lately stated of its weights, the latest last.
+	weights []statedWeights
 	// respondingCalls is the number of this gateway's calls on which the target has
 	// sent something; progressed is when it last did on any of them.
 	respondingCalls int
@@ -170,7 +172,12 @@
 
 // accepts reports whether the call may go to the target.
 func (target *target) accepts(request Request) bool {
-	return target.usable() && !slices.Contains(request.Exclude, target.ID)
+	return target.usable() && target.suits(request)
+}
+
+// suits reports whether the call may go to the target as soon as that is usable.
+func (target *target) suits(request Request) bool {
+	return !slices.Contains(request.Exclude, target.ID) && !target.lacks(request.Weights)
 }
 
 // unreliable reports whether the target fails many of its calls.
