gate/sched: a waiting call that no target can take holds up no other

Cause: a new batch call is not placed while one that goes before it waits, and no batch call while any online call waits, whether or not that one can use a free target. A call that waits for a target which rejects it, is excluded or is down so blocked all the others, and since nothing ran there was no event that would have assigned the free slots.

Options ruled out: assigning slots anew with each call that arrives (a gateway that takes back thousands of items sorts its queue for each of them).

Change: only waiting calls that some usable target accepts hold others up. Free slots are assigned once a second by themselves, as some become free by the passage of time only (reports of a gateway that no longer reports).

--- a/internal/gate/sched/health.go
+++ b/internal/gate/sched/health.go
@@ -138,7 +138,9 @@
 	}
 }
 
-// Expire ends what is known of targets and has not been stated again for too long.
+// Expire ends what is known of targets and has not been stated again for too long. Waiting
+// calls get the slots that become free by the passage of time, as reports of other gateways
+// do, within dispatchPeriod.
 func (scheduler *Scheduler) Expire() {
 	scheduler.ExpireLeaving()
 	scheduler.mutex.Lock()
@@ -146,6 +148,9 @@
 	now := scheduler.clock.Now()
 	scheduler.expireReplaced(now)
 	scheduler.expireWeights(now)
+	if now.Sub(scheduler.dispatchedAt) >= dispatchPeriod {
+		scheduler.dispatchAll()
+	}
 }
 
 // Backoff returns the delay before the n-th probe of an unreachable target.
--- a/internal/gate/sched/place.go
+++ b/internal/gate/sched/place.go
@@ -85,7 +85,7 @@
 // A gateway with too many items hands jobs over instead. Only a gateway without a
 // home target for the call uses free slots elsewhere.
 func (service *serviceState) findBatch(request Request, now time.Time) (*target, Placement) {
-	if len(service.online) > 0 {
+	if service.onlineWaits() {
 		return nil, ""
 	}
 	homes, free := 0, 0
--- a/internal/gate/sched/queue.go
+++ b/internal/gate/sched/queue.go
@@ -13,13 +13,29 @@
 	return &waiter{request: request, since: now, reservation: make(chan *Reservation, 1), infeasible: request.Batch && request.slack(now) < 0}
 }
 
-// hasAhead reports whether a waiting call goes before a new one. The mutex must be
-// held.
+// hasAhead reports whether a waiting call goes before a new one. Those that can't use any
+// target at the moment don't. The mutex must be held.
 func (service *serviceState) hasAhead(call *waiter) bool {
+	queue, goesBefore := service.online, func(other *waiter) bool { return other.request.Priority <= call.request.Priority }
 	if call.request.Batch {
-		return len(service.batch) > 0 && !call.precedes(service.batch[0])
+		queue, goesBefore = service.batch, func(other *waiter) bool { return !call.precedes(other) }
 	}
-	return len(service.online) > 0 && service.online[0].request.Priority <= call.request.Priority
+	for _, other := range queue {
+		// The queue is in this order.
+		if !goesBefore(other) {
+			return false
+		}
+		if service.hasUsable(other.request) {
+			return true
+		}
+	}
+	return false
+}
+
+// onlineWaits reports whether an online call waits for a slot that becomes free. The mutex
+// must be held.
+func (service *serviceState) onlineWaits() bool {
+	return slices.ContainsFunc(service.online, func(waiting *waiter) bool { return service.hasUsable(waiting.request) })
 }
 
 // precedes reports whether a batch call goes before another one: calls that can
--- a/internal/gate/sched/sched.go
+++ b/internal/gate/sched/sched.go
@@ -49,6 +49,9 @@
 	holdSmoothing = 0.05
 	// defaultHold is that average before the first call has ended.
 	defaultHold = 500 * time.Millisecond
+	// dispatchPeriod is the longest time between two assignments of free slots to the
+	// calls that wait. Most become free by an event, upon which they are assigned.
+	dispatchPeriod = time.Second
 	// unlimitedSlack is the slack of a call without a due time.
 	unlimitedSlack = time.Duration(1<<63 - 1)
 	// minRetryAfter is the shortest retry delay that a refused caller is sent. A
@@ -144,11 +147,13 @@
 	// batchServices holds the services that batch calls use; nil means all.
 	batchServices map[string]bool
 	usage         usage
-	random        func(n int) int
-	onDown        func(agatestage.Endpoint)
-	onRemoved     func(agatestage.Endpoint)
-	onReadiness   func(endpoint agatestage.Endpoint, ready bool)
-	onGuest       func(target string, held Held)
+	// dispatchedAt is when the free slots of all services were last assigned.
+	dispatchedAt time.Time
+	random       func(n int) int
+	onDown       func(agatestage.Endpoint)
+	onRemoved    func(agatestage.Endpoint)
+	onReadiness  func(endpoint agatestage.Endpoint, ready bool)
+	onGuest      func(target string, held Held)
 }
 
 // Option configures a scheduler.
@@ -373,6 +378,7 @@
 // dispatchAll assigns free slots in all services. The mutex must be held.
 func (scheduler *Scheduler) dispatchAll() {
 	now := scheduler.clock.Now()
+	scheduler.dispatchedAt = now
 	for _, service := range scheduler.services {
 		scheduler.dispatch(service, now)
 	}
--- a/internal/gate/sched/weights_test.go
+++ b/internal/gate/sched/weights_test.go
@@ -111,3 +111,61 @@
 		gomega.Expect(fixture.Statements("local-0")).To(gomega.BeNumerically("<=", 8))
 	})
 })
+
+// submit lets a batch call wait in the background, and returns a channel for its slot.
+func (fixture *fixture) submit(request sched.Request) <-chan *sched.Reservation {
+	slot := make(chan *sched.Reservation, 1)
+	ctx, cancel := context.WithCancel(context.Background())
+	ginkgo.DeferCleanup(cancel)
+	request.Service, request.Batch = service, true
+	waiting := fixture.QueueLength(service)
+	go func() {
+		reservation, err := fixture.Acquire(ctx, request)
+		if err == nil {
+			slot <- reservation
+		}
+	}()
+	gomega.Eventually(func() bool { return len(slot) > 0 || fixture.QueueLength(service) > waiting }).Should(gomega.BeTrue())
+	return slot
+}
+
+var _ = ginkgo.Describe("a batch call that no target can serve", func() {
+	// Guards against items that never run behind one that waits for weights which no target has.
+	ginkgo.It("doesn't hold up the others behind it, though nothing else happens", func() {
+		fixture := newFixture()
+		fixture.rejectAll(2)
+		due := fixture.clock.Now().Add(time.Minute)
+		waiting := fixture.submit(sched.Request{Weights: version(2), Due: due})
+		for i := range 3 {
+			gomega.Expect(fixture.submit(sched.Request{Due: due.Add(time.Duration(i) * time.Second)})).To(gomega.Receive())
+		}
+		gomega.Expect(waiting).NotTo(gomega.Receive())
+		gomega.Expect(fixture.QueueLength(service)).To(gomega.Equal(1))
+	})
+	ginkgo.It("gets its slot as soon as a target states the weights", func() {
+		fixture := newFixture()
+		fixture.rejectAll(2)
+		waiting := fixture.submit(sched.Request{Weights: version(2)})
+		fixture.acquireOnline().RecordWeights(version(2))
+		gomega.Eventually(waiting).Should(gomega.Receive())
+	})
+})
+
+var _ = ginkgo.Describe("a batch call", func() {
+	ginkgo.It("isn't held up by an online call that waits for a target which is down", func() {
+		fixture := newFixture()
+		fixture.MarkSilent("local-0")
+		fixture.acquireLater(sched.Request{Service: service, QueueTimeout: queueTimeout, Exclude: []string{"local-1", "region-0", "remote-0"}})
+		gomega.Eventually(func() int { return fixture.QueueLength(service) }).Should(gomega.Equal(1))
+		gomega.Expect(fixture.submit(sched.Request{})).To(gomega.Receive())
+	})
+	ginkgo.It("gets the slots that a gateway no longer reports, though nothing else happens", func() {
+		fixture := newFixture()
+		fixture.ReceiveHeld("other", map[string]sched.Held{"local-0": {Online: slots}, "local-1": {Online: slots}})
+		waiting := fixture.submit(sched.Request{})
+		gomega.Expect(waiting).NotTo(gomega.Receive())
+		fixture.clock.Step(3 * time.Second)
+		fixture.Expire()
+		gomega.Eventually(waiting).Should(gomega.Receive())
+	})
+})
