gate/sched: a batch call that can run nowhere near runs anywhere

Cause: a gateway without a home target for a call used targets of its own region only, and a job is handed over from a load of 1.5 items a slot, so that a single item fitted neither rule. Listed targets that are down, draining, excluded or have other weights led to the same, as did a home with a single slot (one slot is always left free) and an online call that may not use the free target (any waiting online call held all batch calls up).

Change: a call with no home target goes to its region while a target there may serve it, else anywhere. One that has waited for 5 s and can no longer be in time goes to any target that is nearly idle. The margins of free slots end at a target's slots. An online call holds up batch calls only at targets that it may use itself.

--- a/internal/gate/sched/fleet_test.go
+++ b/internal/gate/sched/fleet_test.go
@@ -189,7 +189,7 @@
 	defer gateway.mutex.Unlock()
 	service, waiting := gateway.serviceState(fleetService), newWaiter(request, now)
 	if !service.hasAhead(waiting) {
-		if call.reservation = gateway.place(service, request, now); call.reservation != nil {
+		if call.reservation = gateway.place(service, waiting, now); call.reservation != nil {
 			fleet.send(gateway, call)
 			return
 		}
--- a/internal/gate/sched/move.go
+++ b/internal/gate/sched/move.go
@@ -45,7 +45,7 @@
 	if service.hasAhead(call) {
 		return nil
 	}
-	return scheduler.place(service, call.request, now)
+	return scheduler.place(service, call, now)
 }
 
 func (service *serviceState) enqueueMove(waiting *waiter) {
@@ -98,7 +98,7 @@
 func (scheduler *Scheduler) dispatch(service *serviceState, now time.Time) {
 	scheduler.forecast(service, now)
 	for _, waiting := range service.turns() {
-		if reservation := scheduler.place(service, waiting.request, now); reservation != nil {
+		if reservation := scheduler.place(service, waiting, now); reservation != nil {
 			reservation.Waited = now.Sub(waiting.since)
 			service.dequeue(waiting)
 			waiting.reservation <- reservation
--- a/internal/gate/sched/place.go
+++ b/internal/gate/sched/place.go
@@ -34,21 +34,23 @@
 
 // place reserves a slot for the call if one is available now. The mutex must be
 // held.
-func (scheduler *Scheduler) place(service *serviceState, request Request, now time.Time) *Reservation {
-	find := service.findOnline
-	if request.Batch {
-		find = service.findBatch
+func (scheduler *Scheduler) place(service *serviceState, call *waiter, now time.Time) *Reservation {
+	var chosen *target
+	var placement Placement
+	if call.request.Batch {
+		chosen, placement = service.findBatch(call.request, now.Sub(call.since), now)
+	} else {
+		chosen, placement = service.findOnline(call.request, now)
 	}
-	chosen, placement := find(request, now)
 	if chosen == nil {
 		return nil
 	}
-	return scheduler.reserve(chosen, placement, request, now)
+	return scheduler.reserve(chosen, placement, call.request, now)
 }
 
 // Margins of free slots that a target must have.
 func oneSlot(*target) int           { return 1 }
-func spareSlots(*target) int        { return spareMargin }
+func spareSlots(target *target) int { return min(spareMargin, target.Slots) }
 func crowdedSlots(*target) int      { return crowdedMargin }
 func staleSlots(target *target) int { return int(math.Ceil(float64(target.Slots) * staleMargin)) }
 
@@ -79,32 +81,50 @@
 	return nil, ""
 }
 
-// findBatch returns a home target at which online calls leave a slot free, or nil.
-// Batch calls don't use free slots elsewhere: several gateways that see the same
-// free slots would all fill them, and all would have to preempt their calls again.
-// A gateway with too many items hands jobs over instead. Only a gateway without a
-// home target for the call uses free slots elsewhere.
-func (service *serviceState) findBatch(request Request, now time.Time) (*target, Placement) {
-	if service.onlineWaits() {
-		return nil, ""
-	}
-	homes, free := 0, 0
+// findBatch returns a target for a batch call that has waited for a time, or nil: a home
+// target at which online calls leave a slot free. Batch calls don't use free slots
+// elsewhere: several gateways that see the same free slots would all fill them, and all
+// would have to preempt their calls again. A gateway with too many items hands jobs over
+// instead. Two kinds of calls use slots elsewhere, near ones first, so that work which can
+// run anywhere runs in the end: those without a home target that may serve them, and those
+// that have waited for batchPatience and can't finish in time any more, at targets that are
+// nearly idle.
+func (service *serviceState) findBatch(request Request, waited time.Duration, now time.Time) (*target, Placement) {
+	homes, slots, free := 0, 0, 0
 	for _, target := range service.targets {
 		if !target.home || !target.expected(now) || !target.suits(request) {
 			continue
 		}
 		homes++
 		if target.usable() {
+			slots += target.Slots
 			free += max(0, target.free(now))
 		}
 	}
+	var chosen *target
+	placement := PlacementSpared
 	switch {
+	case homes == 0 && service.expects(request, now, inRegion):
+		chosen = service.leastLoaded(request, now, spareSlots, inRegion)
 	case homes == 0:
-		return service.leastLoaded(request, now, spareSlots, inRegion), PlacementSpared
-	case free > reservedSlots:
-		return service.leastLoaded(request, now, oneSlot, atHome), PlacementHome
+		chosen = service.leastLoaded(request, now, spareSlots, anywhere)
+	case free > min(reservedSlots, slots-1):
+		chosen, placement = service.leastLoaded(request, now, oneSlot, atHome), PlacementHome
 	}
-	return nil, ""
+	if chosen == nil && waited >= batchPatience && (request.Due.IsZero() || request.slack(now) < 0) {
+		chosen, placement = service.leastLoaded(request, now, staleSlots, anywhere), PlacementSpared
+	}
+	if chosen == nil || service.onlineWaits(chosen) {
+		return nil, ""
+	}
+	return chosen, placement
+}
+
+// expects reports whether a target that matches may serve the call now or in a moment.
+func (service *serviceState) expects(request Request, now time.Time, match func(*target) bool) bool {
+	return slices.ContainsFunc(service.targets, func(target *target) bool {
+		return match(target) && target.expected(now) && target.suits(request)
+	})
 }
 
 // claim returns a target among those that match and whose slots are filled by batch
--- a/internal/gate/sched/queue.go
+++ b/internal/gate/sched/queue.go
@@ -32,10 +32,10 @@
 	return false
 }
 
-// onlineWaits reports whether an online call waits for a slot that becomes free. The mutex
-// must be held.
-func (service *serviceState) onlineWaits() bool {
-	return slices.ContainsFunc(service.online, func(waiting *waiter) bool { return service.hasUsable(waiting.request) })
+// onlineWaits reports whether an online call waits that may use a target. The mutex must be
+// held.
+func (service *serviceState) onlineWaits(target *target) bool {
+	return slices.ContainsFunc(service.online, func(waiting *waiter) bool { return target.accepts(waiting.request) })
 }
 
 // precedes reports whether a batch call goes before another one: calls that can
@@ -105,7 +105,7 @@
 	expectedWait := service.expectedWait(request, ahead, now)
 	var refusal *agatestage.Refusal
 	switch {
-	case !slices.ContainsFunc(service.targets, func(target *target) bool { return target.expected(now) && target.suits(request) }):
+	case !service.expects(request, now, anywhere):
 		return service.noTarget(request)
 	case expectedWait > request.QueueTimeout:
 		refusal = agatestage.Refuse(agatestage.CodeBusy, "all slots of service %s are taken and %d calls wait", request.Service, ahead)
