gate/batch: inputs and results share the line to the store, in order of their due times

A gateway read the inputs of all jobs that it took back at once, with no bound on what is under way and in no order, and kept nothing of a read that broke off. So all ended late, held up the renewal of the lease and all other calls on the line, and a lost connection began them anew. New jobs and results were written so, too.

Options ruled out: one read at a time whatever its size (a slow store answers after 0.4 s, and 30 small jobs would then take 12 s); a bound by number (records have from 1 KB to 700 KB); records that are smaller (more calls, each of them paid).

Change: base/ration admits transfers up to 1.5 MB together, by due time. Reads of inputs, results and progress, for take-overs and for callers, share one queue, new inputs and results to write another; heads state the sizes. A submission waits for 1.5 s at most and is then refused as not run, before anything is written. A job whose head has changed while it was read is not started.

--- a/internal/gate/batch/access.go
+++ b/internal/gate/batch/access.go
@@ -121,7 +121,7 @@
 	if items != nil {
 		return items, nil
 	}
-	items, err := manager.jobStore.items(ctx, head.Head)
+	items, err := manager.jobStore.items(ctx, head.Head, manager.clock.Now())
 	if err != nil {
 		return nil, err
 	}
--- a/internal/gate/batch/job.go
+++ b/internal/gate/batch/job.go
@@ -189,6 +189,16 @@
 	return len(job.pending)
 }
 
+// pendingBytes returns the size of the results to write.
+func (job *job) pendingBytes() (total int64) {
+	job.mutex.Lock()
+	defer job.mutex.Unlock()
+	for _, result := range job.pending {
+		total += int64(len(result.Output))
+	}
+	return total
+}
+
 // hasUnwritten reports whether there are results or progress to write.
 func (job *job) hasUnwritten() bool {
 	job.mutex.Lock()
@@ -214,6 +224,11 @@
 // commit writes the pending results and the progress of unfinished items, in one
 // transaction with the head that counts the results.
 func (job *job) commit(ctx context.Context) (err error) {
+	var release func()
+	if release, err = job.manager.jobStore.writes.Acquire(ctx, job.head.Due, job.pendingBytes()); err != nil {
+		return errors.Wrap(agatestage.ErrUnavailable, err.Error())
+	}
+	defer release()
 	job.mutex.Lock()
 	before, pending, progress := job.versionedHead, slices.Clone(job.pending), job.progressLocked()
 	progressDirty := job.progressDirty
@@ -250,6 +265,7 @@
 		writes = append(writes, agatestage.Write{Key: progressPrefix + head.ID, Value: data})
 	}
 	head.Chunks += len(chunks)
+	head.ResultBytes += totalBytes(chunks)
 	head.Results += len(pending)
 	if head.Results >= head.Items {
 		head.State = StateDone
--- a/internal/gate/batch/jobstore.go
+++ b/internal/gate/batch/jobstore.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/agatestage/agatestage"
+	"github.com/agatestage/agatestage/internal/base/ration"
 	"github.com/agatestage/agatestage/internal/base/ticks"
 )
 
@@ -29,10 +30,58 @@
 // errUnreadable means that records of a job are missing or can't be decoded.
 var errUnreadable = errors.New("the job's records can't be read")
 
+const (
+	// transferBytes bounds what a gateway reads of inputs and results at a time, and what it
+	// writes of them: half a second of the line of 30 Mbit/s between regions, which other
+	// calls to the store and other gateways share.
+	transferBytes = 1536 << 10
+	// submitPatience is how long a submission waits until its input may be written. Its caller
+	// has the time to submit it to another gateway then.
+	submitPatience = 1500 * time.Millisecond
+	// progressBytes is the assumed size of a record of progress: that of a few items of the
+	// users' workload.
+	progressBytes = 64 << 10
+)
+
 // jobStore reads and writes the records of jobs.
 type jobStore struct {
 	store agatestage.Transactor
 	clock agatestage.Clock
+	// reads and writes admit the transfers of inputs and results.
+	reads  *ration.Queue
+	writes *ration.Queue
+	// partial holds what has been read of inputs whose reading broke off.
+	partial partialInputs
+}
+
+func newJobStore(store agatestage.Transactor, clock agatestage.Clock) *jobStore {
+	return &jobStore{store: store, clock: clock, reads: ration.New(transferBytes), writes: ration.New(transferBytes), partial: partialInputs{jobs: make(map[string]partialInput)}}
+}
+
+// read reads a record of a known size. Those that are due first are read first.
+func (jobStore *jobStore) read(ctx context.Context, key string, due time.Time, bytes int64) (agatestage.Record, error) {
+	release, err := jobStore.reads.Acquire(ctx, due, bytes)
+	if err != nil {
+		return agatestage.Record{}, err
+	}
+	defer release()
+	return jobStore.store.Get(ctx, key)
+}
+
+// awaitLine waits until the input of a new job may be written, at most for submitPatience.
+func (jobStore *jobStore) awaitLine(ctx context.Context, arrived time.Time, bytes int) (release func(), err error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	timer := jobStore.clock.NewTimer(submitPatience)
+	defer timer.Stop()
+	go func() {
+		select {
+		case <-timer.C():
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	return jobStore.writes.Acquire(ctx, arrived, int64(bytes))
 }
 
 // head reads a head; the error is agatestage.ErrNotFound if there is none.
@@ -94,23 +143,26 @@
 	return before, cause
 }
 
-// items reads the input of a job.
-func (jobStore *jobStore) items(ctx context.Context, head Head) (items []Item, err error) {
-	for part := range head.Parts {
+// items reads the input of a job by a due time. What it has read when it fails is kept, within
+// bounds, and not read again.
+func (jobStore *jobStore) items(ctx context.Context, head Head, due time.Time) (items []Item, err error) {
+	known := jobStore.partial.take(head)
+	for ; known.parts < head.Parts; known.parts++ {
 		var record agatestage.Record
-		if record, err = jobStore.store.Get(ctx, inputKey(head.ID, part)); err != nil {
-			return nil, errors.Wrapf(missing(err), "read part %d of job %s", part, head.ID)
+		if record, err = jobStore.read(ctx, inputKey(head.ID, known.parts), due, head.partBytes()); err != nil {
+			jobStore.partial.keep(head, known)
+			return nil, errors.Wrapf(missing(err), "read part %d of job %s", known.parts, head.ID)
 		}
 		var decoded []Item
 		if err = cbor.Unmarshal(record.Value, &decoded); err != nil {
 			return nil, errors.Wrapf(errUnreadable, "decode items: %v", err)
 		}
-		items = append(items, decoded...)
+		known.items, known.bytes = append(known.items, decoded...), known.bytes+len(record.Value)
 	}
-	if len(items) != head.Items {
-		return nil, errors.Wrapf(errUnreadable, "job %s has %d items and not %d", head.ID, len(items), head.Items)
+	if len(known.items) != head.Items {
+		return nil, errors.Wrapf(errUnreadable, "job %s has %d items and not %d", head.ID, len(known.items), head.Items)
 	}
-	return items, nil
+	return known.items, nil
 }
 
 // missing returns errUnreadable for the error of the read of a record that isn't there.
@@ -121,11 +173,11 @@
 	return err
 }
 
-// results reads the results of a job from a chunk on.
-func (jobStore *jobStore) results(ctx context.Context, head Head, from int) (results []Result, err error) {
+// results reads the results of a job from a chunk on, by a due time.
+func (jobStore *jobStore) results(ctx context.Context, head Head, from int, due time.Time) (results []Result, err error) {
 	for chunk := from; chunk < head.Chunks; chunk++ {
 		var record agatestage.Record
-		if record, err = jobStore.store.Get(ctx, chunkKey(head.ID, chunk)); err != nil {
+		if record, err = jobStore.read(ctx, chunkKey(head.ID, chunk), due, head.chunkBytes()); err != nil {
 			return nil, errors.Wrapf(missing(err), "read chunk %d of job %s", chunk, head.ID)
 		}
 		var decoded []Result
@@ -138,10 +190,10 @@
 }
 
 // progress reads the progress of unfinished items that an owner has written.
-func (jobStore *jobStore) progress(ctx context.Context, id string) (all []Progress, err error) {
-	record, err := jobStore.store.Get(ctx, progressPrefix+id)
+func (jobStore *jobStore) progress(ctx context.Context, head Head) (all []Progress, err error) {
+	record, err := jobStore.read(ctx, progressPrefix+head.ID, head.Due, progressBytes)
 	if err != nil {
-		return nil, errors.Wrapf(err, "read progress of job %s", id)
+		return nil, errors.Wrapf(err, "read progress of job %s", head.ID)
 	}
 	return all, errors.Wrap(cbor.Unmarshal(record.Value, &all), "decode progress")
 }
--- a/internal/gate/batch/manager.go
+++ b/internal/gate/batch/manager.go
@@ -145,7 +145,7 @@
 // New returns the Manager of one process of a gateway.
 func New(self Gateway, store agatestage.Transactor, clock agatestage.Clock, runner relay.Runner, holder *rules.Holder, fleet Fleet, fingerprint func(*agatestage.Call) uint64, options ...Option) *Manager {
 	manager := &Manager{
-		name: self.Name, instance: self.Instance, region: self.Region, clock: clock, jobStore: &jobStore{store: store, clock: clock},
+		name: self.Name, instance: self.Instance, region: self.Region, clock: clock, jobStore: newJobStore(store, clock),
 		runner: runner, rules: holder, fleet: fleet, storeHealth: feeds.NewStoreHealth(clock), duty: feeds.NewDuty(), fingerprint: fingerprint,
 		heads: make(map[string]versionedHead), jobs: make(map[string]*job), claimed: make(map[string]bool), unfenced: make(map[string]bool), snapshots: make(map[string]*snapshot),
 		changed: make(chan struct{}), peers: noPeers{}, placements: make(map[string]placement), assigned: make(map[string]time.Time), returned: make(map[string]time.Time), unreadable: make(map[string]time.Time), unchanged: make(map[string]headAge), owners: make(map[string]announcedOwner), startedAt: clock.Now(), meanItemTime: initialItemTime, meanItemEvents: initialItemEvents,
--- a/internal/gate/batch/record.go
+++ b/internal/gate/batch/record.go
@@ -97,6 +97,10 @@
 	Epoch    uint64
 	Results  int
 	Chunks   int
+	// InputBytes and ResultBytes are the sizes of all parts and of all chunks. They are zero
+	// in heads of gateways that don't state them.
+	InputBytes  int `json:",omitempty"`
+	ResultBytes int `json:",omitempty"`
 	// Progress is true if there is a record of the progress of unfinished items.
 	Progress bool `json:",omitempty"`
 }
@@ -119,6 +123,26 @@
 	return head.State == StateOpen
 }
 
+// partBytes returns the mean size of a part of the input, chunkBytes that of a chunk of results.
+func (head Head) partBytes() int64  { return meanBytes(head.InputBytes, head.Parts) }
+func (head Head) chunkBytes() int64 { return meanBytes(head.ResultBytes, head.Chunks) }
+
+// meanBytes returns the mean size of so many records, or that of a full one if it isn't known.
+func meanBytes(bytes, records int) int64 {
+	if bytes <= 0 || records <= 0 {
+		return maxRecordBytes
+	}
+	return int64(bytes / records)
+}
+
+// totalBytes returns the size of all records together.
+func totalBytes(records [][]byte) (total int) {
+	for _, record := range records {
+		total += len(record)
+	}
+	return total
+}
+
 func headKey(id string) string { return headPrefix + id }
 
 func inputKey(id string, part int) string { return fmt.Sprintf("%s%s/%03d", inputPrefix, id, part) }
--- a/internal/gate/batch/results.go
+++ b/internal/gate/batch/results.go
@@ -216,7 +216,7 @@
 			return head, nil, err
 		}
 	}
-	more, err := manager.jobStore.results(ctx, head.Head, from)
+	more, err := manager.jobStore.results(ctx, head.Head, from, manager.clock.Now())
 	return head, more, err
 }
 
--- a/internal/gate/batch/submit.go
+++ b/internal/gate/batch/submit.go
@@ -88,10 +88,15 @@
 	if giveUp <= 0 {
 		giveUp = defaultGiveUp
 	}
+	release, err := manager.jobStore.awaitLine(ctx, spec.Arrived, totalBytes(parts))
+	if err != nil {
+		return storeRefusal("the line to the store is taken", err)
+	}
+	defer release()
 	owner := manager.placeJob(spec.ID, len(spec.Items))
 	head := Head{
 		ID: spec.ID, Organisation: spec.Organisation, Route: spec.Route.Name, ConfigVersion: spec.ConfigVersion, Host: spec.Host, Region: manager.region,
-		Items: len(spec.Items), Parts: len(parts), Digest: digest, State: StateOpen,
+		Items: len(spec.Items), Parts: len(parts), InputBytes: totalBytes(parts), Digest: digest, State: StateOpen,
 		Submitted: spec.Arrived.UTC(), Due: spec.Arrived.Add(spec.Route.Due).UTC(), GiveUp: spec.Arrived.Add(giveUp).UTC(),
 		Owner: owner.Name, Instance: owner.Instance, Epoch: 1,
 	}
--- a/internal/gate/batch/takeover.go
+++ b/internal/gate/batch/takeover.go
@@ -120,6 +120,9 @@
 			delete(manager.unreadable, id)
 		}
 	}
+	manager.jobStore.partial.retain(func(id string) bool {
+		return manager.ownedByProcess(manager.heads[id].Head) && manager.heads[id].Open()
+	})
 	for id := range manager.unchanged {
 		if head, known := manager.heads[id]; !known || !head.Open() {
 			delete(manager.unchanged, id)
@@ -230,13 +233,13 @@
 	head := taken.Head
 	var items []Item
 	var stored []Result
-	if items, err = manager.jobStore.items(ctx, head); err == nil {
-		stored, err = manager.jobStore.results(ctx, head, 0)
+	if items, err = manager.jobStore.items(ctx, head, head.Due); err == nil {
+		stored, err = manager.jobStore.results(ctx, head, 0, head.Due)
 	}
 	var progress []Progress
-	if head.Progress {
+	if head.Progress && err == nil {
 		var progressErr error
-		if progress, progressErr = manager.jobStore.progress(ctx, head.ID); progressErr != nil {
+		if progress, progressErr = manager.jobStore.progress(ctx, head); progressErr != nil {
 			klog.InfoS("progress not read; unfinished items restart from the beginning", "job", head.ID, "error", progressErr.Error())
 		}
 	}
@@ -252,6 +255,11 @@
 		return
 	}
 	delete(manager.unreadable, head.ID)
+	if newest := manager.heads[head.ID]; newest.version > taken.version {
+		// The job may have ended or moved while it was read.
+		klog.InfoS("job not started, as its head has changed", "job", head.ID, "epoch", head.Epoch, "newest", newest.Epoch, "state", newest.State)
+		return
+	}
 	manager.noteOwner(head)
 	klog.InfoS("job taken over", "job", head.ID, "from", orphan.Owner, "epoch", head.Epoch, "results", head.Results, "items", head.Items, "begun", len(progress))
 	manager.startJobLocked(taken, lease, items, stored, progress)
