gate/batch: the owner of a job that has ended before it was listed is told so

What callers saw: a job whose end had been acknowledged went on at its owner until that next wrote its head, if the message that said so was lost, and the gateways that follow the heads first saw the job in a whole list: after a start, a gap of the history or an outage.

Cause: an ended job that was not known before was told to its owner only if it came as a change, not in a whole list.

Options ruled out: letting the test await the lists of its gateways (it passes then, but the fault stays); asking the store for each running job every few seconds (a call a job).

Change: of a whole list, the owners of jobs that ended before all their items had a result are told, 200 at most at a time.

Evidence: a new spec starts the following gateway after the end: fails without the change (20 s), passes with it.

--- a/internal/gate/batch/manager.go
+++ b/internal/gate/batch/manager.go
@@ -23,6 +23,9 @@
 	headsPollInterval = 1800 * time.Millisecond
 	// takeOverPeriod is the period of the scan for jobs without an owner.
 	takeOverPeriod = 300 * time.Millisecond
+	// maxEndNotices bounds the owners that are told at a time that their jobs have ended. A
+	// whole list has the jobs of the last minutes.
+	maxEndNotices = 200
 	// retention is how long a job's records are kept after its submission. Results
 	// must stay readable for two minutes.
 	retention = 5 * time.Minute
@@ -199,8 +202,9 @@
 			klog.ErrorS(err, "job head can't be decoded", "key", record.Key)
 			continue
 		}
-		// A job may have been accepted and ended between two polls.
-		if before, known := manager.heads[observed.ID]; observed.State == StateEnded && observed.Owner != manager.name && (before.Open() || (!known && !whole)) {
+		// A job may have been accepted and ended between two polls, or before this gateway
+		// listed the heads.
+		if before, known := manager.heads[observed.ID]; observed.State == StateEnded && observed.Owner != manager.name && (before.Open() || !known && observed.cutShort()) {
 			ended = append(ended, observed)
 		}
 		if owned := manager.cacheHeadLocked(observed); owned != nil && !owned.updateHead(observed) {
@@ -212,7 +216,10 @@
 		manager.changed = make(chan struct{})
 	}
 	manager.mutex.Unlock()
-	for _, observed := range ended {
+	if len(ended) > maxEndNotices {
+		klog.InfoS("owners of ended jobs not notified", "jobs", len(ended)-maxEndNotices, "reason", "too many at once; they notice at their next write")
+	}
+	for _, observed := range ended[:min(len(ended), maxEndNotices)] {
 		// The message from the gateway that ended the job to its owner may be lost.
 		manager.notifyOwner(observed, Handover{})
 	}
--- a/internal/gate/batch/record.go
+++ b/internal/gate/batch/record.go
@@ -143,6 +143,10 @@
 	return total
 }
 
+// cutShort reports whether the job has ended before all its items had a result, so that its owner
+// may still run some.
+func (head Head) cutShort() bool { return !head.Open() && head.Results < head.Items }
+
 func headKey(id string) string { return headPrefix + id }
 
 func inputKey(id string, part int) string { return fmt.Sprintf("%s%s/%03d", inputPrefix, id, part) }
--- a/internal/gate/batch/takeover_test.go
+++ b/internal/gate/batch/takeover_test.go
@@ -271,6 +271,31 @@
 	})
 })
 
+var _ = ginkgo.Describe("a job that has ended before a gateway lists the heads", func() {
+	// Guards against a job that goes on at an owner which doesn't follow the heads, as the message about its end was lost.
+	ginkgo.It("is stopped at its owner", func() {
+		fixture := newFixture()
+		fixture.fakeFleet.setAlive(first, second)
+		peers, duty := &fakePeers{managers: make(map[string]*batch.Manager)}, feeds.NewDuty()
+		duty.Set(false)
+		blind := *fixture
+		blind.fakeFleet = &fakeFleet{notWatching: true}
+		blind.fakeFleet.setAlive(first, second)
+		owner, _ := blind.start(second, batch.WithPeers(peers), batch.WithDuty(duty))
+		peers.register(second.Name, owner)
+		fixture.awaitLists(1)
+		fixture.fakeRunner.hold = make(chan struct{})
+		spec := fixture.spec("job", 1)
+		gomega.Expect(owner.Submit(context.Background(), spec)).To(gomega.Succeed())
+		gomega.Eventually(func() int { return fixture.fakeRunner.runCount("job-0") }, waitTimeout).Should(gomega.Equal(1))
+		alone, _ := fixture.start(batch.Gateway{Name: "alone", Instance: "alone-process", Region: first.Region})
+		gomega.Expect(alone.End(context.Background(), organisation, spec.ID)).To(gomega.Succeed())
+		gomega.Expect(fixture.fakeRunner.cancelCount()).To(gomega.BeZero())
+		fixture.start(first, batch.WithPeers(peers))
+		gomega.Eventually(fixture.fakeRunner.cancelCount, waitTimeout).Should(gomega.Equal(1))
+	})
+})
+
 var _ = ginkgo.Describe("a job whose owner was announced", func() {
 	ginkgo.It("is read without a call to the store", func() {
 		fixture := newFixture()
