gate/batch: cached inputs and results are bounded by bytes

Cause: the cache of jobs was bounded by their number, 2,000, and emptied only beyond it.

Options ruled out: dropping the items of jobs that have ended (other jobs, which are only asked about, grow the same way, and a body that is asked for again would be read from the store each time).

Inputs of open jobs, and what submissions take while they are decoded, are still not bounded.

--- a/internal/gate/batch/access.go
+++ b/internal/gate/batch/access.go
@@ -21,8 +21,6 @@
 	// that a job has no more results. Callers may rely on a result that another gateway
 	// returned a second ago.
 	headFreshFor = 300 * time.Millisecond
-	// maxSnapshots bounds the cache of jobs that other gateways own.
-	maxSnapshots = 2000
 	// defaultGiveUp is how long items are retried if their route sets no limit.
 	defaultGiveUp = time.Hour
 )
@@ -113,7 +111,7 @@
 func (manager *Manager) jobItems(ctx context.Context, head versionedHead) ([]Item, error) {
 	manager.mutex.Lock()
 	job := manager.jobs[head.ID]
-	items := manager.snapshot(head.ID).items
+	items := manager.snapshots.get(head.ID).items
 	manager.mutex.Unlock()
 	if job != nil {
 		return job.items, nil
@@ -127,7 +125,7 @@
 	}
 	manager.mutex.Lock()
 	defer manager.mutex.Unlock()
-	manager.snapshot(head.ID).items = items
+	manager.snapshots.setItems(head.ID, items)
 	return items, nil
 }
 
--- a/internal/gate/batch/manager.go
+++ b/internal/gate/batch/manager.go
@@ -90,7 +90,7 @@
 	claimed map[string]bool
 	// unfenced holds the jobs with a write of this process that the store may yet execute.
 	unfenced  map[string]bool
-	snapshots map[string]*snapshot
+	snapshots *snapshotCache
 	draining  bool
 	// changed is closed when any head changes.
 	changed chan struct{}
@@ -150,7 +150,7 @@
 	manager := &Manager{
 		name: self.Name, instance: self.Instance, region: self.Region, clock: clock, jobStore: newJobStore(store, clock),
 		runner: runner, rules: holder, fleet: fleet, storeHealth: feeds.NewStoreHealth(clock), duty: feeds.NewDuty(), fingerprint: fingerprint,
-		heads: make(map[string]versionedHead), jobs: make(map[string]*job), claimed: make(map[string]bool), unfenced: make(map[string]bool), snapshots: make(map[string]*snapshot),
+		heads: make(map[string]versionedHead), jobs: make(map[string]*job), claimed: make(map[string]bool), unfenced: make(map[string]bool), snapshots: newSnapshotCache(),
 		changed: make(chan struct{}), peers: noPeers{}, placements: make(map[string]placement), assigned: make(map[string]time.Time), returned: make(map[string]time.Time), unreadable: make(map[string]time.Time), unchanged: make(map[string]headAge), owners: make(map[string]announcedOwner), startedAt: clock.Now(), meanItemTime: initialItemTime, meanItemEvents: initialItemEvents,
 	}
 	manager.ctx, manager.stop = context.WithCancel(context.Background())
--- a/internal/gate/batch/results.go
+++ b/internal/gate/batch/results.go
@@ -17,27 +17,6 @@
 	Results []Result
 }
 
-// snapshot is the cached input and results of a job that this gateway doesn't own.
-type snapshot struct {
-	results []Result
-	chunks  int
-	items   []Item
-	// confirmedAt is when the job's owner or the store was last asked whether there are
-	// more results.
-	confirmedAt time.Time
-}
-
-// confirm caches the results that the job had at a given time, unless more are cached.
-func (snapshot *snapshot) confirm(results []Result, chunks int, at time.Time) {
-	if len(snapshot.results) > len(results) {
-		return
-	}
-	snapshot.results, snapshot.chunks = results, chunks
-	if at.After(snapshot.confirmedAt) {
-		snapshot.confirmedAt = at
-	}
-}
-
 // Peers exchanges jobs with other gateways.
 type Peers interface {
 	// QueryJob requests the head of a job and its results from an offset on from the
@@ -164,7 +143,7 @@
 func (manager *Manager) remoteResults(ctx context.Context, head versionedHead, offset int) (listing, error) {
 	askedAt := manager.clock.Now()
 	manager.mutex.Lock()
-	cached := manager.snapshot(head.ID)
+	cached := manager.snapshots.get(head.ID)
 	results, chunks := cached.results, cached.chunks
 	confirmed := askedAt.Sub(cached.confirmedAt) < headFreshFor
 	fresh := askedAt.Sub(manager.headsConfirmedAt) < headFreshFor && head.Owner != manager.name
@@ -196,7 +175,7 @@
 	defer manager.mutex.Unlock()
 	manager.cacheHeadLocked(observed)
 	// Another read, of an older or a newer head, may have ended meanwhile.
-	manager.snapshot(head.ID).confirm(results, observed.Chunks, askedAt)
+	manager.snapshots.confirm(head.ID, results, observed.Chunks, askedAt)
 	return listing{versionedHead: observed, results: results, source: sourceStore}, nil
 }
 
@@ -229,34 +208,17 @@
 	defer manager.mutex.Unlock()
 	manager.cacheHeadLocked(observed)
 	if len(results) == answer.Head.Results {
-		manager.snapshot(observed.ID).confirm(results, answer.Head.Chunks, askedAt)
+		manager.snapshots.confirm(observed.ID, results, answer.Head.Chunks, askedAt)
 	}
 	return listing{versionedHead: observed, results: results, source: sourceOwner}
 }
 
-// snapshot returns the cached snapshot of a job and creates it if needed; the mutex must
-// be held.
-func (manager *Manager) snapshot(id string) *snapshot {
-	cached := manager.snapshots[id]
-	if cached == nil {
-		if len(manager.snapshots) >= maxSnapshots {
-			clear(manager.snapshots)
-		}
-		cached = &snapshot{}
-		manager.snapshots[id] = cached
-	}
-	return cached
-}
-
 // AnswerQuery answers another gateway's QueryJob for a job that certainly runs here, or
 // ran here until it ended.
 func (manager *Manager) AnswerQuery(id string, offset int) (Answer, bool) {
 	manager.mutex.Lock()
 	job, observed := manager.jobs[id], manager.heads[id]
-	var results []Result
-	if cached := manager.snapshots[id]; cached != nil {
-		results = cached.results
-	}
+	results := manager.snapshots.get(id).results
 	manager.mutex.Unlock()
 	switch {
 	case job != nil && !job.isOwned(observed):
--- a/internal/gate/batch/submit.go
+++ b/internal/gate/batch/submit.go
@@ -90,7 +90,7 @@
 	}
 	release, err := manager.jobStore.awaitLine(ctx, spec.Arrived, totalBytes(parts))
 	if err != nil {
-		return storeRefusal("the line to the store is taken", err)
+		return storeRefusal("the line to the store is taken by other jobs", err)
 	}
 	defer release()
 	owner := manager.placeJob(spec.ID, len(spec.Items))
@@ -129,7 +129,7 @@
 	manager.noteOwner(accepted.Head)
 	own, draining := accepted.Owner == manager.name, manager.draining
 	if !own || draining {
-		manager.snapshot(spec.ID).items = spec.Items
+		manager.snapshots.setItems(spec.ID, spec.Items)
 	} else if manager.jobs[spec.ID] == nil {
 		manager.startJobLocked(accepted, lease, spec.Items, nil, nil)
 	}
--- a/internal/gate/batch/takeover.go
+++ b/internal/gate/batch/takeover.go
@@ -146,11 +146,8 @@
 func (manager *Manager) cacheFinishedLocked(id string, owned *job) {
 	delete(manager.jobs, id)
 	last, results, _ := owned.snapshot()
-	cached := manager.snapshot(id)
-	cached.items = owned.items
-	if len(cached.results) < len(results) {
-		cached.results, cached.chunks = results, last.Chunks
-	}
+	manager.snapshots.setItems(id, owned.items)
+	manager.snapshots.confirm(id, results, last.Chunks, time.Time{})
 }
 
 // hasTerminated reports whether the job's work here has ended.
