gate/batch: a gateway that drains leaves the jobs that it is reading to the others

A gateway that drained while it read such jobs went on reading and started them, and their heads named it until its process had ended and was known to be gone.

Cause: a drain released the jobs that ran, not those that were still being read; with reads in a queue that may be many for seconds.

Options ruled out: handing them over with what was read (the next owner reads the input in any case, and the heads are small).

Change: a drain ends the reads, clears the owner of these heads, and waits for that within its time.

Evidence: gate/batch line_test "leaves them to the others at once" fails without the change (20 s) and passes with it.

--- a/internal/gate/batch/line_test.go
+++ b/internal/gate/batch/line_test.go
@@ -54,7 +54,11 @@
 		return record, err
 	}
 	if line.reading != nil {
-		line.reading <- key
+		select {
+		case line.reading <- key:
+		case <-ctx.Done():
+			return agatestage.Record{}, ctx.Err()
+		}
 	}
 	crowded := line.pass(key, len(record.Value))
 	timer := time.NewTimer(passTime)
@@ -152,6 +156,21 @@
 	})
 })
 
+var _ = ginkgo.Describe("a gateway that drains while it reads jobs that it has taken back", func() {
+	ginkgo.It("leaves them to the others at once", func() {
+		fixture := newFixture()
+		specs := fixture.lose(3)
+		line := newLine(fixture)
+		line.reading = make(chan string)
+		again, _ := fixture.start(firstAgain)
+		gomega.Eventually(line.reading, waitTimeout).Should(gomega.Receive())
+		again.Drain(context.Background())
+		for _, spec := range specs {
+			gomega.Eventually(func() string { return fixture.head(spec.ID) }, waitTimeout).Should(gomega.ContainSubstring(`"Owner":""`))
+		}
+	})
+})
+
 var _ = ginkgo.Describe("a large job that is submitted while the line to the store is taken", func() {
 	ginkgo.It("is refused as not run, is not in the store, and is accepted later", func() {
 		fixture := newFixture()
--- a/internal/gate/batch/manager.go
+++ b/internal/gate/batch/manager.go
@@ -83,9 +83,15 @@
 	fingerprint func(*agatestage.Call) uint64
 	ctx         context.Context
 	stop        context.CancelFunc
-	mutex       sync.Mutex
-	heads       map[string]versionedHead
-	jobs        map[string]*job
+	// reading ends when this gateway begins to drain, as do the reads of jobs that it has
+	// taken over.
+	reading     context.Context
+	stopReading context.CancelFunc
+	// takeOvers counts those that go on. None begins once this gateway drains.
+	takeOvers sync.WaitGroup
+	mutex     sync.Mutex
+	heads     map[string]versionedHead
+	jobs      map[string]*job
 	// claimed holds the jobs that are being submitted, taken over or moved here.
 	claimed map[string]bool
 	// unfenced holds the jobs with a write of this process that the store may yet execute.
@@ -154,6 +160,7 @@
 		changed: make(chan struct{}), peers: noPeers{}, placements: make(map[string]placement), assigned: make(map[string]time.Time), returned: make(map[string]time.Time), unreadable: make(map[string]time.Time), unchanged: make(map[string]headAge), owners: make(map[string]announcedOwner), startedAt: clock.Now(), meanItemTime: initialItemTime, meanItemEvents: initialItemEvents,
 	}
 	manager.ctx, manager.stop = context.WithCancel(context.Background())
+	manager.reading, manager.stopReading = context.WithCancel(manager.ctx)
 	for _, option := range options {
 		option(manager)
 	}
@@ -267,11 +274,21 @@
 	jobs := manager.jobs
 	manager.jobs = make(map[string]*job)
 	manager.mutex.Unlock()
+	manager.stopReading()
 	var releases sync.WaitGroup
 	for _, owned := range jobs {
 		releases.Go(func() { owned.release(ctx, manager.placeJob(owned.head.ID, owned.remaining())) })
 	}
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		manager.takeOvers.Wait()
+	}()
 	releases.Wait()
+	select {
+	case <-ended:
+	case <-ctx.Done():
+	}
 	manager.stop()
 }
 
--- a/internal/gate/batch/takeover.go
+++ b/internal/gate/batch/takeover.go
@@ -56,6 +56,7 @@
 		successor, orphaned := manager.successor(head, alive)
 		if successor == manager.name {
 			manager.claimed[id] = true
+			manager.takeOvers.Add(1)
 			orphans = append(orphans, head)
 			continue
 		}
@@ -200,6 +201,7 @@
 // takeOver makes this gateway the owner of a job, unless it already is, and continues
 // the job.
 func (manager *Manager) takeOver(ctx context.Context, orphan versionedHead) {
+	defer manager.takeOvers.Done()
 	defer manager.taken(orphan.ID)
 	lease := manager.currentLease()
 	var taken versionedHead
@@ -228,17 +230,13 @@
 	}
 	manager.fence(orphan.ID)
 	head := taken.Head
-	var items []Item
-	var stored []Result
-	if items, err = manager.jobStore.items(ctx, head, head.Due); err == nil {
-		stored, err = manager.jobStore.results(ctx, head, 0, head.Due)
-	}
-	var progress []Progress
-	if head.Progress && err == nil {
-		var progressErr error
-		if progress, progressErr = manager.jobStore.progress(ctx, head); progressErr != nil {
-			klog.InfoS("progress not read; unfinished items restart from the beginning", "job", head.ID, "error", progressErr.Error())
-		}
+	items, stored, progress, err := manager.readTaken(ctx, head)
+	if manager.isDraining() {
+		// Any other gateway may have it at once.
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), moveTimeout)
+		defer cancel()
+		manager.handOver(ctx, taken, Gateway{}, Handover{})
+		return
 	}
 	manager.mutex.Lock()
 	defer manager.mutex.Unlock()
@@ -262,6 +260,30 @@
 	manager.startJobLocked(taken, lease, items, stored, progress)
 }
 
+// readTaken reads the records of a job that this gateway has taken over, until it drains.
+func (manager *Manager) readTaken(ctx context.Context, head Head) (items []Item, stored []Result, progress []Progress, err error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(manager.reading, cancel)()
+	if items, err = manager.jobStore.items(ctx, head, head.Due); err == nil {
+		stored, err = manager.jobStore.results(ctx, head, 0, head.Due)
+	}
+	if head.Progress && err == nil {
+		var progressErr error
+		if progress, progressErr = manager.jobStore.progress(ctx, head); progressErr != nil {
+			klog.InfoS("progress not read; unfinished items restart from the beginning", "job", head.ID, "error", progressErr.Error())
+		}
+	}
+	return items, stored, progress, err
+}
+
+// isDraining reports whether this gateway takes over no more jobs.
+func (manager *Manager) isDraining() bool {
+	manager.mutex.Lock()
+	defer manager.mutex.Unlock()
+	return manager.draining
+}
+
 // noteWrite records that a write of a job's head has failed, and may be executed later
 // unless the error says that it won't be.
 func (manager *Manager) noteWrite(id string, err error) {
@@ -331,6 +353,7 @@
 	takeOver := handover.TakeOver && newest && observed.Open() && job == nil && !manager.claimed[observed.ID] && !manager.draining && !manager.isUnreadable(observed.ID)
 	if takeOver {
 		manager.claimed[observed.ID] = true
+		manager.takeOvers.Add(1)
 	}
 	manager.mutex.Unlock()
 	if takeOver {
--- a/internal/gate/relay/attempt.go
+++ b/internal/gate/relay/attempt.go
@@ -56,11 +56,12 @@
 		run.sched.MarkLeaving(reservation.Target)
 		run.conns.CloseIdle(reservation.Target.Address)
 	}
-	if !run.isReplaced(info, reservation.Target) {
+	replaced := run.isReplaced(info, reservation.Target)
+	if !replaced {
 		reservation.RecordWeights(info.Weights)
 	}
 	if info.NotRun || info.Replaced || info.Mismatched {
-		return run.rejected(reservation, response, info)
+		return run.rejected(reservation, response, info, replaced)
 	}
 	run.attempts++
 	run.result.Ran = true
@@ -138,13 +139,13 @@
 	return end
 }
 
-// rejected returns the outcome of a call that, according to the target, has not
-// run.
-func (run *run) rejected(reservation *sched.Reservation, response *conns.TargetResponse, info agatestage.AnswerInfo) outcome {
+// rejected returns the outcome of a call that, according to the target, or to the one that
+// has replaced it, has not run.
+func (run *run) rejected(reservation *sched.Reservation, response *conns.TargetResponse, info agatestage.AnswerInfo, replaced bool) outcome {
 	// What the rest of the response says doesn't matter to the call, which waits.
 	response.Discard(maxResponseBytes, minRemaining)
 	switch {
-	case run.isReplaced(info, reservation.Target):
+	case replaced:
 		klog.InfoS("another incarnation has the target's address", "call", run.call.ID, "target", reservation.Target.ID, "address", reservation.Target.Address, "other", info.Instance)
 		reservation.MarkReplaced()
 		end := notRun(agatestage.CodeNoTarget, "another incarnation has the address of target %s", reservation.Target.ID)
