--- a/internal/gate/sched/health.go
+++ b/internal/gate/sched/health.go
@@ -138,9 +138,8 @@
 	}
 }
 
-// Expire ends what is known of targets and has not been stated again for too long. Waiting
-// calls get the slots that become free by the passage of time, as reports of other gateways
-// do, within dispatchPeriod.
+// Expire ends what targets and other gateways have stated and not repeated for too long. Slots
+// that become free in this way are assigned to waiting calls within dispatchPeriod.
 func (scheduler *Scheduler) Expire() {
 	scheduler.ExpireLeaving()
 	scheduler.mutex.Lock()
