gate/relay: a test of a silent target waits until the attempt has failed

Traced: the spec waits until one call waits for a slot and then marks the target as up. After 300 ms two timers race, the dial and the time after which the call asks for a slot elsewhere; if the latter is first, that request counts as the waiting call, the target is marked as up before it is down (the attempt failed at 07.503, 304 ms after it began), and nothing marks it as up again, as the fixture has no prober. Gateways probe a target that is down.

The spec waits besides until the target is down; it checks the same as before.

--- a/internal/gate/relay/silent_test.go
+++ b/internal/gate/relay/silent_test.go
@@ -202,6 +202,8 @@
 				results <- fixture.Serve(context.Background(), &agatestage.Call{ID: "call", Method: http.MethodPost, Host: "host", Path: "/path"}, next(), sink)
 			}()
 			gomega.Eventually(func() int { return fixture.sched.Moves(service) + len(results) }, patience).Should(gomega.Equal(1))
+			// The attempt may still ask for a slot elsewhere; it has failed once the target is down.
+			gomega.Eventually(fixture.anyUsable, patience).Should(gomega.BeFalse())
 			silentListener.goOn()
 			fixture.sched.MarkUp("target-0")
 			var result relay.Result
@@ -249,6 +251,15 @@
 	}
 })
 
+// anyUsable reports whether a call would get a slot now.
+func (fixture *fixture) anyUsable() bool {
+	reservation := fixture.sched.TryAcquire(sched.Request{Service: service})
+	if reservation != nil {
+		reservation.Release(false)
+	}
+	return reservation != nil
+}
+
 // fill takes all slots of the second target. The returned function releases them.
 func (call *silentCall) fill() (release func()) {
 	ginkgo.GinkgoHelper()
