--- a/review/kit-2/engine.go
+++ b/review/kit-2/engine.go
@@ -37,18 +37,6 @@
 	return data
 }
 
-// output returns the whole text of a request.
-func (work work) output(id string) string {
-	var text strings.Builder
-	for number := 1; number <= work.Events; number++ {
-		if number > 1 {
-			text.WriteByte('\n')
-		}
-		text.WriteString(eventData(id, number, work.Bytes))
-	}
-	return text.String()
-}
-
 // engines are the engines of a deployment, and what they have run.
 type engines struct {
 	names  names
@@ -216,10 +204,3 @@
 	defer engines.mutex.Unlock()
 	return len(engines.finished), len(engines.running), time.Since(engines.last)
 }
-
-// hasFinished reports whether a request has run to its end.
-func (engines *engines) hasFinished(id string) bool {
-	engines.mutex.Lock()
-	defer engines.mutex.Unlock()
-	return engines.finished[id] > 0
-}
--- a/review/kit-2/fleet.go
+++ b/review/kit-2/fleet.go
@@ -38,7 +38,6 @@
 	settings string
 	mutex    sync.Mutex
 	command  *exec.Cmd
-	gone     bool
 	// ends holds why its processes ended that nobody was asked to end.
 	ends   []string
 	peakKB int
@@ -226,8 +225,7 @@
 	stopping := machine.fleet.stopping
 	machine.fleet.mutex.Unlock()
 	machine.mutex.Lock()
-	gone := machine.gone
-	if !gone && !stopping {
+	if !stopping {
 		why := fmt.Sprintf("ended: %v", err)
 		if exceeded > 0 {
 			machine.killed++
@@ -237,7 +235,7 @@
 		machine.fleet.record.log("platform: the process of %s has ended (%s), end %d", machine.name, why, len(machine.ends))
 	}
 	machine.mutex.Unlock()
-	if gone || stopping {
+	if stopping {
 		return
 	}
 	time.Sleep(restartDelay)
@@ -275,14 +273,6 @@
 	}
 }
 
-// remove removes the machine for good.
-func (machine *machine) remove() {
-	machine.mutex.Lock()
-	machine.gone = true
-	machine.mutex.Unlock()
-	machine.signal(syscall.SIGKILL)
-}
-
 // state returns how often the machine's processes ended by themselves, how many of these exceeded the
 // memory, and the largest memory in megabytes.
 func (machine *machine) state() (ends, killed, peakMB int) {
--- a/review/kit-2/names.go
+++ b/review/kit-2/names.go
@@ -32,7 +32,6 @@
 	Readiness   string `json:"readiness"`
 	Config      string `json:"config"`
 	Servers     string `json:"servers"`
-	DeadLetter  string `json:"dead_letter"`
 	Completed   string `json:"completed"`
 	TypeField   string `json:"type_field"`
 }
--- a/review/kit-2/packets.go
+++ b/review/kit-2/packets.go
@@ -20,8 +20,8 @@
 	packetPause               = 200 * time.Millisecond
 	// freezeTime is how long a machine stands still, and wakeTime how long it runs until the next freeze.
 	freezeTime, wakeTime = 3200 * time.Millisecond, 2 * time.Second
-	// freezes is how often two machines stand still.
-	freezes = 14
+	// freezes is how often three of the machines stand still, all at the same time.
+	freezes = 18
 )
 
 // packets has machines stand still while calls come in bursts at another one. Datagrams are lost when a
@@ -47,13 +47,13 @@
 	}()
 	for range freezes {
 		time.Sleep(wakeTime)
-		for _, frozen := range run.fleet.machines[1:3] {
+		for _, frozen := range run.fleet.machines[1:] {
 			if run.trouble {
 				frozen.signal(syscall.SIGSTOP)
 			}
 		}
 		time.Sleep(freezeTime)
-		for _, frozen := range run.fleet.machines[1:3] {
+		for _, frozen := range run.fleet.machines[1:] {
 			if run.trouble {
 				frozen.signal(syscall.SIGCONT)
 				run.record.log("platform: %s has stood still for %v and wakes", frozen.name, freezeTime)
--- a/review/kit-2/store.go
+++ b/review/kit-2/store.go
@@ -151,13 +151,6 @@
 	store.apply([]storeItem{{Key: key, Value: value}}, nil)
 }
 
-// remove removes an item as the platform does.
-func (store *store) remove(key string) {
-	store.mutex.Lock()
-	defer store.mutex.Unlock()
-	store.apply(nil, []string{key})
-}
-
 // ServeHTTP implements http.Handler.
 func (store *store) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
 	body, err := io.ReadAll(request.Body)
