--- a/review/kit-2/fleet.go
+++ b/review/kit-2/fleet.go
@@ -47,14 +47,16 @@
 
 // fleet is a small deployment on loopback addresses.
 type fleet struct {
-	names    names
-	record   *record
-	root     string
-	folder   string
-	store    *store
-	engines  *engines
-	zones    map[string]string
-	network  string
+	names   names
+	record  *record
+	root    string
+	folder  string
+	store   *store
+	engines *engines
+	zones   map[string]string
+	network string
+	// lines holds the address under which the machines of a zone reach the store, if it isn't the store's.
+	lines    map[string]string
 	machines []*machine
 	next     int
 	stopping bool
@@ -134,10 +136,14 @@
 		return "", err
 	}
 	quote := func(text string) string { return `"` + text + `"` }
+	store := fleet.store.address
+	if line := fleet.lines[machine.zone]; line != "" {
+		store = line
+	}
 	text := strings.NewReplacer(
 		"{{node_name|json}}", quote(machine.name), "{{region|json}}", quote(fleet.zones[machine.zone]), "{{zone|json}}", quote(machine.zone),
 		"{{listen.front|json}}", quote(machine.callers), "{{listen.readiness|json}}", quote(machine.ready),
-		"{{ip}}", machine.ip, "{{internal_ports.0}}", peerPort, "{{platform.address}}", fleet.store.address,
+		"{{ip}}", machine.ip, "{{internal_ports.0}}", peerPort, "{{platform.address}}", store,
 		"{{bounds.grace_s}}", "8", "{{limits.memory_mb}}", strconv.Itoa(memoryMB), "{{limits.max_fds}}", strconv.Itoa(descriptors),
 	).Replace(string(data))
 	if begin, end := strings.Index(text, "{{#zones}}"), strings.Index(text, "{{/zones}}"); begin >= 0 && end > begin {
--- a/review/kit-2/main.go
+++ b/review/kit-2/main.go
@@ -32,6 +32,7 @@
 	"rows":    rows,
 	"bodies":  bodies,
 	"packets": packets,
+	"far":     far,
 }
 
 func main() {
