--- a/review/kit-2/packets.go
+++ b/review/kit-2/packets.go
@@ -19,9 +19,9 @@
 	packetCalls, packetWorkUS = 300, 200_000
 	packetPause               = 200 * time.Millisecond
 	// freezeTime is how long a machine stands still, and wakeTime how long it runs until the next freeze.
-	freezeTime, wakeTime = 3200 * time.Millisecond, 2 * time.Second
-	// freezes is how often three of the machines stand still, all at the same time.
-	freezes = 18
+	freezeTime, wakeTime = 3200 * time.Millisecond, time.Second
+	// freezes is how often one of the machines stands still.
+	freezes = 25
 )
 
 // packets has machines stand still while calls come in bursts at another one. Datagrams are lost when a
@@ -45,19 +45,17 @@
 		defer close(done)
 		run.bursts(ctx, run.fleet.machines[0], &counts)
 	}()
-	for range freezes {
+	for n := range freezes {
 		time.Sleep(wakeTime)
-		for _, frozen := range run.fleet.machines[1:] {
-			if run.trouble {
-				frozen.signal(syscall.SIGSTOP)
-			}
+		// One machine at a time, two of them by turns.
+		frozen := run.fleet.machines[1+n%2]
+		if run.trouble {
+			frozen.signal(syscall.SIGSTOP)
 		}
 		time.Sleep(freezeTime)
-		for _, frozen := range run.fleet.machines[1:] {
-			if run.trouble {
-				frozen.signal(syscall.SIGCONT)
-				run.record.log("platform: %s has stood still for %v and wakes", frozen.name, freezeTime)
-			}
+		if run.trouble {
+			frozen.signal(syscall.SIGCONT)
+			run.record.log("platform: %s has stood still for %v and wakes", frozen.name, freezeTime)
 		}
 	}
 	time.Sleep(wakeTime)
