base/intake, base/inlet: what the kernel keeps for connections is bounded and counted

Callers saw 503 while a host ran short of memory: clients that send part of a body and stay left up to 128 KB each unread in the kernel, beside the pool of base/intake, which counts only what the process has read. On a host's limit such bytes count as the process's. The same holds for responses that are written and not acknowledged.

Cause: sockets had the system's buffers, which grow by themselves, and nothing measured them. An idle connection whose caller never reads its last response was closed with a FIN, after which the kernel keeps the response for as long as the caller's host answers probes.

Change: listeners give their connections receive buffers of Limits.SocketBytes (16 KB, of which the kernel keeps 32) and send buffers of four times that; connections inherit them, also those that aren't accepted yet. A body of 64 KB or more gets a receive buffer of 128 KB while half of the pool is free. Once the buffers of all connections could exceed the pool, each is measured every 250 ms, counted in the pool, and taken out of the collector's limit; beyond the pool, what costs most is dropped. An idle connection of which nothing is received for the write timeout is reset. Listeners for readiness and metrics close idle connections.

Why it works: the bound holds in the kernel, whatever the process does meanwhile; measuring costs nothing while connections are few (443 on a host of 284 MB).

--- a/internal/base/inlet/body.go
+++ b/internal/base/inlet/body.go
@@ -137,6 +137,9 @@
 			return nil, err
 		}
 		defer conn.hold.Shrink(int64(cap(body)))
+		if size >= wideBody {
+			conn.widen()
+		}
 	}
 	return append(make([]byte, 0, size), body...), nil
 }
--- a/internal/base/inlet/conn.go
+++ b/internal/base/inlet/conn.go
@@ -193,9 +193,15 @@
 
 // Close implements net.Conn. It resets a connection whose answer isn't finished.
 func (conn *conn) Close() error {
+	conn.mutex.Lock()
+	abandoned := conn.phase == idle && conn.server.clock.Since(conn.since) >= unreadTime
+	conn.mutex.Unlock()
 	if why := conn.markClosed(); why != "" && !conn.server.cutOff.Load() {
 		conn.server.noteUnserved(conn, why)
 	}
+	if abandoned {
+		conn.resetUnread()
+	}
 	if conn.unfinished.Load() || conn.unsent.Load() {
 		_ = conn.SetLinger(0)
 	}
--- a/internal/base/inlet/inlet.go
+++ b/internal/base/inlet/inlet.go
@@ -73,6 +73,7 @@
 	for _, option := range options {
 		option(inlet)
 	}
+	inlet.limitSockets()
 	inlet.givenUp, inlet.giveUp = context.WithCancel(context.Background())
 	server.Handler, server.ConnState, server.ConnContext = inlet, trackState, withConn(server.ConnContext)
 	return inlet
@@ -142,7 +143,9 @@
 		return
 	}
 	for _, conn := range server.open() {
-		conn.closeIdle(limit, forever)
+		if !conn.sending(limit) {
+			conn.closeIdle(limit, forever)
+		}
 	}
 }
 
--- a/internal/base/inlet/limits.go
+++ b/internal/base/inlet/limits.go
@@ -70,6 +70,12 @@
 	dropped  atomic.Bool
 	// refused is true once a request was refused of which more may arrive.
 	refused atomic.Bool
+	// wide is true while the connection has the wide receive buffer.
+	wide bool
+	// unreadBefore is what the caller of the idle connection hadn't received at stalledAt, when it
+	// last received anything. The connection's mutex must be held.
+	unreadBefore int
+	stalledAt    time.Time
 }
 
 // openHold returns whether there is room for the connection.
@@ -80,7 +86,9 @@
 	}
 	// The address of a TCP connection is a TCP address.
 	address, _ := netip.ParseAddrPort(conn.RemoteAddr().String())
-	conn.hold, ok = pool.Open(address.Addr().Unmap(), conn.drop)
+	if conn.hold, ok = pool.Open(address.Addr().Unmap(), conn.drop); ok {
+		conn.hold.SetSockets(conn.queued)
+	}
 	return ok
 }
 
@@ -96,6 +104,7 @@
 	}
 	conn.mutex.Unlock()
 	if quiet {
+		conn.resetUnread()
 		_ = conn.TCPConn.Close()
 	}
 }
@@ -111,7 +120,9 @@
 // nextHold notes that an answer has been sent. The connection's mutex must be held.
 func (conn *conn) nextHold() {
 	conn.headBytes, conn.headCost = 0, 0
+	conn.unreadBefore, conn.stalledAt = 0, time.Time{}
 	if conn.hold != nil {
+		conn.narrow()
 		conn.hold.Next()
 	}
 }
--- a/internal/base/intake/metrics.go
+++ b/internal/base/intake/metrics.go
@@ -29,8 +29,9 @@
 // RegisterMetrics registers the gauges of the pool. It is called once in a process.
 func (pool *Pool) RegisterMetrics() {
 	for name, value := range map[string]func() int64{
-		"agatestage_intake_bytes":       func() int64 { return pool.used },
-		"agatestage_intake_connections": func() int64 { return int64(len(pool.holds)) },
+		"agatestage_intake_bytes":        func() int64 { return pool.used },
+		"agatestage_intake_connections":  func() int64 { return int64(len(pool.holds)) },
+		"agatestage_intake_socket_bytes": func() int64 { return pool.sockets },
 	} {
 		metrics.GetOrCreateGauge(name, func() float64 {
 			pool.mutex.Lock()
--- a/internal/base/intake/pool.go
+++ b/internal/base/intake/pool.go
@@ -58,6 +58,14 @@
 	work     *work
 	loggedAt time.Time
 	unlogged int
+	// sockets is what the kernel keeps of used, and wide the number of connections with the wide
+	// receive buffer.
+	sockets int64
+	wide    int
+	// watched has an element when the connections have become many.
+	watched chan struct{}
+	// limited is what the collector's limit leaves to the kernel. Only Watch uses it.
+	limited int64
 	// peak is the largest use since memory was last returned to the system.
 	peak       int64
 	returnedAt time.Time
@@ -65,7 +73,7 @@
 
 // New returns an empty pool.
 func New(sizes Sizes, clock agatestage.Clock) *Pool {
-	return &Pool{clock: clock, sizes: sizes, holds: make(map[*Hold]struct{}), addresses: make(map[netip.Addr]usage), changed: make(chan struct{}), work: newWork(sizes.Work)}
+	return &Pool{clock: clock, sizes: sizes, holds: make(map[*Hold]struct{}), addresses: make(map[netip.Addr]usage), changed: make(chan struct{}), watched: make(chan struct{}, 1), work: newWork(sizes.Work)}
 }
 
 // Sizes returns the sizes that the pool was created with.
@@ -78,6 +86,10 @@
 	// drop ends the connection; it must not block.
 	drop  func()
 	bytes int64
+	// sockets is what the kernel keeps for the connection, as it was last measured.
+	sockets int64
+	measure func() int64
+	wide    bool
 	// since is when the request, or the wait for one, began.
 	since time.Time
 	// finished is true while a request that has arrived whole may run.
@@ -112,6 +124,7 @@
 		pool.holds[hold] = struct{}{}
 		pool.addUsage(address, usage{conns: 1})
 		pool.add(hold, ConnBytes)
+		pool.checkCrowded()
 	}
 	pool.mutex.Unlock()
 	pool.dropAll(victims, "connections")
@@ -197,6 +210,7 @@
 	hold.pool.mutex.Lock()
 	defer hold.pool.mutex.Unlock()
 	hold.pool.add(hold, min(0, ConnBytes-hold.bytes))
+	hold.pool.narrow(hold)
 	hold.finished, hold.since = false, hold.pool.clock.Now()
 }
 
@@ -208,11 +222,16 @@
 	if hold.ended {
 		return
 	}
+	pool.addSockets(hold, -hold.sockets)
+	pool.narrow(hold)
 	hold.ended = true
 	pool.add(hold, -hold.bytes)
 	pool.remove(hold)
 }
 
+// size returns what the hold has with what the kernel keeps for it; the mutex must be held.
+func (hold *Hold) size() int64 { return hold.bytes + hold.sockets }
+
 // add changes the bytes of a hold; the mutex must be held.
 func (pool *Pool) add(hold *Hold, bytes int64) {
 	if hold.ended && bytes > 0 {
@@ -279,7 +298,7 @@
 // markDropped marks a hold as dropped; the mutex must be held.
 func (pool *Pool) markDropped(hold *Hold) *Hold {
 	hold.dropped = true
-	pool.leaving += hold.bytes
+	pool.leaving += hold.size()
 	// It may wait for memory itself, and keeps its own until it has taken notice.
 	pool.wake()
 	return hold
--- a/internal/base/intake/sizes.go
+++ b/internal/base/intake/sizes.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"math"
 	"os"
 	"runtime/debug"
@@ -23,6 +24,8 @@
 	Inputs, Cache int64
 	// Conns is the number of connections on all listeners.
 	Conns int
+	// Socket is the size of the receive buffer that the kernel is given for a connection.
+	Socket int
 }
 
 const (
@@ -38,6 +41,8 @@
 	// works harder. The program's text counts as memory of the process beside it.
 	softQuarters = 3
 	bytesPerMB   = 1 << 20
+	// defaultSocket is the receive buffer of a connection: a head of usual size.
+	defaultSocket = 16 << 10
 )
 
 // SizesOf returns the sizes for the limits of the settings, or else of the system.
@@ -53,6 +58,7 @@
 	return Sizes{
 		Memory: memory, Pool: memory / poolPart, Responses: min(memory/responsesPart, maxResponses), Work: memory / workPart,
 		Inputs: memory / inputsPart, Cache: min(memory/cachePart, maxCache), Conns: descriptors * connsQuarters / 4,
+		Socket: cmp.Or(limits.SocketBytes, defaultSocket),
 	}
 }
 
--- a/internal/base/intake/victim.go
+++ b/internal/base/intake/victim.go
@@ -13,10 +13,10 @@
 // of a connection on which nothing of a request is held doesn't count: callers keep them.
 func (hold *Hold) cost(now time.Time) float64 {
 	held := usualTime
-	if hold.bytes > ConnBytes {
+	if hold.bytes > ConnBytes || hold.sockets > 0 {
 		held = max(usualTime, now.Sub(hold.since))
 	}
-	return float64(hold.bytes) * held.Seconds()
+	return float64(hold.size()) * held.Seconds()
 }
 
 // costliest returns the unfinished hold to be dropped for an asker: of the address that holds most
@@ -45,7 +45,7 @@
 		if hold.finished || hold.dropped {
 			continue
 		}
-		if bytes[hold.address] += hold.bytes; bytes[hold.address] > bytes[heavy] {
+		if bytes[hold.address] += hold.size(); bytes[hold.address] > bytes[heavy] {
 			heavy = hold.address
 		}
 	}
--- a/internal/base/setup/limits.go
+++ b/internal/base/setup/limits.go
@@ -1,5 +1,11 @@
 package setup
 
+const (
+	// minSocketBytes is the least receive buffer that Linux grants (socket(7)); maxSocketBytes
+	// rejects a figure in another unit.
+	minSocketBytes, maxSocketBytes = 2 << 10, 1 << 20
+)
+
 // Limits is what the host gives to this process. A field that is zero is taken from the
 // limits of the system.
 type Limits struct {
@@ -7,6 +13,9 @@
 	MemoryMB float64
 	// MaxFDs is the number of descriptors that the process may have open.
 	MaxFDs int
+	// SocketBytes is the size of the receive buffer that the kernel is given for each connection of
+	// a client; zero means 16 KB. The send buffer is given four times as much.
+	SocketBytes int
 }
 
 // limits checks what the host gives to the process.
@@ -17,4 +26,7 @@
 	if limits.MaxFDs < 0 {
 		checker.fault("Limits.MaxFDs", "is negative")
 	}
+	if limits.SocketBytes != 0 && (limits.SocketBytes < minSocketBytes || limits.SocketBytes > maxSocketBytes) {
+		checker.fault("Limits.SocketBytes", "%d is not between %d and %d bytes", limits.SocketBytes, minSocketBytes, maxSocketBytes)
+	}
 }
--- a/internal/base/setup/limits_test.go
+++ b/internal/base/setup/limits_test.go
@@ -26,3 +26,11 @@
 	expect.Expect(errors.As(err, &faults)).To(gomega.BeTrue())
 	expect.Expect(faults).To(gomega.HaveLen(2), faults.Error())
 }
+
+func TestSocketBytesOutOfRangeAreAFault(t *testing.T) {
+	for _, size := range []string{"16", "2000000"} {
+		expect := gomega.NewWithT(t)
+		_, err := Parse("side.toml", []byte(sideSettings+"[Limits]\nSocketBytes = "+size+"\n"), agatestage.RoleSide)
+		expect.Expect(err).To(gomega.MatchError(gomega.ContainSubstring("Limits.SocketBytes")))
+	}
+}
--- a/internal/entry/start/start.go
+++ b/internal/entry/start/start.go
@@ -308,7 +308,7 @@
 		batch = append(batch, components.Repair)
 	}
 	entry.tree.Start("batch", batch...)
-	entry.tree.Start("intake", super.Func("intake", entry.intake.Trim))
+	entry.tree.Start("intake", super.Func("intake", entry.intake.Trim), super.Func("sockets", entry.intake.Watch))
 	entry.tree.Start("listeners", entry.caller, entry.admin, entry.metrics)
 	entry.ready.Store(true)
 	klog.InfoS("entry serves", "peer", entry.Node.Address(), "callers", entry.CallerAddress(),
--- a/internal/gate/start/intake.go
+++ b/internal/gate/start/intake.go
@@ -17,13 +17,16 @@
 // the platform runs.
 const probeHeaderBytes = 16 << 10
 
+// probeIdleTime is how long their connections may be idle: a few scrapes apart.
+const probeIdleTime = 2 * time.Minute
+
 // startIntake bounds what clients may take, at all listeners together.
 func (gateway *Gateway) startIntake() {
 	sizes := intake.SizesOf(gateway.settings.Limits)
 	sizes.LimitRuntime()
 	gateway.intake = intake.New(sizes, gateway.clock)
 	gateway.intake.RegisterMetrics()
-	gateway.tree.Start("intake", super.Func("intake", gateway.intake.Trim))
+	gateway.tree.Start("intake", super.Func("intake", gateway.intake.Trim), super.Func("sockets", gateway.intake.Watch))
 	klog.InfoS("limits of clients", "memory", sizes.Memory, "requests", sizes.Pool, "responses", sizes.Responses, "work", sizes.Work,
 		"inputs", sizes.Inputs, "cache", sizes.Cache, "connections", sizes.Conns)
 }
--- a/internal/gate/start/start.go
+++ b/internal/gate/start/start.go
@@ -115,7 +115,7 @@
 // callers are refused after a short wait.
 func (gateway *Gateway) listen() error {
 	caller := &http.Server{Handler: http.HandlerFunc(gateway.serve), ReadHeaderTimeout: readHeaderTimeout}
-	status := &http.Server{Handler: gateway.withConfig(gateway.adapter.ReadinessHandler(gateway.ready.Load)), ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: probeHeaderBytes}
+	status := &http.Server{Handler: gateway.withConfig(gateway.adapter.ReadinessHandler(gateway.ready.Load)), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: probeIdleTime, MaxHeaderBytes: probeHeaderBytes}
 	mux := http.NewServeMux()
 	mux.HandleFunc("/metrics", func(writer http.ResponseWriter, _ *http.Request) { metrics.WritePrometheus(writer, true) })
 	for _, bind := range []struct {
@@ -125,7 +125,7 @@
 	}{
 		{"callers", gateway.settings.Listen.Caller, caller},
 		{"readiness", gateway.settings.Listen.Ready, status},
-		{"metrics", gateway.settings.Listen.Metrics, &http.Server{Handler: gateway.withConfig(mux), ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: probeHeaderBytes}},
+		{"metrics", gateway.settings.Listen.Metrics, &http.Server{Handler: gateway.withConfig(mux), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: probeIdleTime, MaxHeaderBytes: probeHeaderBytes}},
 	} {
 		listener, err := net.ListenTCP("tcp4", net.TCPAddrFromAddrPort(bind.address))
 		if err != nil {
