base/intake: dropped connections that are still open are bounded

Cause: a new connection took the place of the oldest unfinished one, whose descriptor is closed only once its own goroutine has taken notice, so that a crowd which connects faster than goroutines end had no bound.

Change: at most an eighth of the connections may be open beside the others as dropped ones; beyond that, new ones are refused until one has been closed. That eighth comes from the quarter of the descriptors that connections of clients don't use.

--- a/internal/base/intake/pool.go
+++ b/internal/base/intake/pool.go
@@ -33,6 +33,9 @@
 	largeEighths = 6
 	// heavyQuarters is the part of the pool, in quarters, above which an address holds much.
 	heavyQuarters = 1
+	// endingPart is the part of the connections that dropped ones may have beside the others until
+	// they are closed. It comes from the descriptors that are left to targets and the store.
+	endingPart = 8
 	// patience is how long a request waits for memory that others give back.
 	patience = time.Second
 	// logPeriod is the least time between two lines on dropped or refused clients.
@@ -62,6 +65,9 @@
 	// receive buffer.
 	sockets int64
 	wide    int
+	// ending is the number of dropped connections that are still to be closed, and that another one
+	// has the place of.
+	ending int
 	// watched has an element when the connections have become many.
 	watched chan struct{}
 	// limited is what the collector's limit leaves to the kernel. Only Watch uses it.
@@ -95,7 +101,9 @@
 	// finished is true while a request that has arrived whole may run.
 	finished bool
 	dropped  bool
-	ended    bool
+	// ending is true if another connection has its place already.
+	ending bool
+	ended  bool
 }
 
 // Open returns the hold of a new connection, or false if there is no room for it. Drop is called
@@ -107,11 +115,17 @@
 	var victims []*Hold
 	ok := true
 	if pool.sizes.Conns > 0 && len(pool.holds) >= pool.connsFor(address) {
-		victim := pool.oldestOfMost()
+		var victim *Hold
+		if pool.ending < max(1, pool.sizes.Conns/endingPart) {
+			victim = pool.oldestOfMost()
+		}
 		if ok = victim != nil; ok {
 			victims = append(victims, pool.markDropped(victim))
-			// Its descriptor is closed at once, while its goroutine takes notice later.
+			// The new connection has its place, though its descriptor may only be closed once its
+			// goroutine takes notice.
 			pool.remove(victim)
+			victim.ending = true
+			pool.ending++
 		}
 	}
 	for ok && !pool.fitsOnceLeft(hold, ConnBytes) {
@@ -225,6 +239,9 @@
 	pool.addSockets(hold, -hold.sockets)
 	pool.narrow(hold)
 	hold.ended = true
+	if hold.ending {
+		pool.ending--
+	}
 	pool.add(hold, -hold.bytes)
 	pool.remove(hold)
 }
--- a/internal/base/intake/sockets_test.go
+++ b/internal/base/intake/sockets_test.go
@@ -88,3 +88,16 @@
 	fixture.Expect(upload.Widen()).To(gomega.BeFalse())
 	fixture.Expect(fixture.wide).To(gomega.BeZero())
 }
+
+// Guards against descriptors that a crowd of unfinished requests has beside the bound, as dropped
+// ones are closed by their own goroutines.
+func TestDroppedConnectionsThatAreStillOpenAreBounded(t *testing.T) {
+	fixture := newFixture(t)
+	open := 0
+	for range 4 * maxConns {
+		if _, ok := fixture.Open(crowdAddress, func() {}); ok {
+			open++
+		}
+	}
+	fixture.Expect(open).To(gomega.BeNumerically("<=", maxConns+maxConns/endingPart))
+}
