side/start: what clients of a side's metrics may take is bounded

Cause: the listener was a plain http.Server without a time or a size for heads, without an idle time-out and outside of base/intake.

Change: it is a server of base/inlet with the pool of the process, as on entries and gateways; a stop waits a second for its last answers. super.HTTP has no user any more.

--- a/internal/base/super/super.go
+++ b/internal/base/super/super.go
@@ -8,9 +8,6 @@
 
 import (
 	"context"
-	"errors"
-	"net"
-	"net/http"
 	"sync"
 	"time"
 
@@ -98,17 +95,6 @@
 	klog.InfoS("supervisor event", "event", event.String())
 }
 
-// HTTP returns a Service that runs an HTTP server on a listener. It isn't restarted
-// after the server has been closed.
-func HTTP(name string, server *http.Server, listener net.Listener) Service {
-	return Func(name, func(context.Context) error {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-			return err
-		}
-		return nil
-	})
-}
-
 // Func returns a Service with the given name that runs a function.
 func Func(name string, serve func(ctx context.Context) error) Service {
 	return function{name: name, serve: serve}
--- a/internal/side/start/start.go
+++ b/internal/side/start/start.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/gorilla/mux"
@@ -14,6 +15,8 @@
 	"k8s.io/klog/v2"
 
 	"github.com/agatestage/agatestage"
+	"github.com/agatestage/agatestage/internal/base/inlet"
+	"github.com/agatestage/agatestage/internal/base/intake"
 	"github.com/agatestage/agatestage/internal/base/setup"
 	"github.com/agatestage/agatestage/internal/base/super"
 	"github.com/agatestage/agatestage/internal/plat/engine"
@@ -35,13 +38,23 @@
 	pullers []*claim.Puller
 	// reconcilers make engines hold the models that the configuration assigns to
 	// them, one for each engine.
-	reconcilers     []*order.Reconciler
-	tree            *super.Tree
-	http            *http.Server
-	metricsListener net.Listener
-	drainLimits     setup.Drain
+	reconcilers []*order.Reconciler
+	tree        *super.Tree
+	metrics     *inlet.Server
+	intake      *intake.Pool
+	drainLimits setup.Drain
 }
 
+const (
+	// readHeaderTimeout and idleTimeout bound the waits for clients of the metrics, and
+	// maxHeaderBytes the head of their requests.
+	readHeaderTimeout = 10 * time.Second
+	idleTimeout       = 2 * time.Minute
+	maxHeaderBytes    = 16 << 10
+	// metricsStopTime is how long a stop waits for the last answers of the metrics.
+	metricsStopTime = time.Second
+)
+
 // Module provides a *Side from the settings and a clock.
 var Module = fx.Module("side", fx.Provide(openBundle, newNode, newServer, newSide), fx.Invoke(run))
 
@@ -68,12 +81,14 @@
 }
 
 func newSide(settings setup.Settings, node *link.Node, server *serve.Server, clock agatestage.Clock) (*Side, error) {
-	listener, err := net.Listen("tcp", settings.Listen.Metrics.String())
+	listener, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(settings.Listen.Metrics))
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for metrics")
 	}
-	side := &Side{Node: node, Server: server, tree: super.New("side"), metricsListener: listener, drainLimits: settings.Drain}
-	side.http = &http.Server{Handler: side.handler()}
+	side := &Side{Node: node, Server: server, tree: super.New("side"), intake: newIntake(settings, clock), drainLimits: settings.Drain}
+	side.metrics = inlet.New("metrics", &http.Server{
+		Handler: side.handler(), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+	}, listener, clock, inlet.WithIntake(side.intake))
 	memory := claim.NewMemory()
 	for _, target := range server.Targets() {
 		if target.Kind == agatestage.KindEngine {
@@ -87,6 +102,16 @@
 	return side, nil
 }
 
+// newIntake returns the pool that bounds what the clients of the metrics may take.
+func newIntake(settings setup.Settings, clock agatestage.Clock) *intake.Pool {
+	sizes := intake.SizesOf(settings.Limits)
+	sizes.LimitRuntime()
+	pool := intake.New(sizes, clock)
+	pool.RegisterMetrics()
+	klog.InfoS("limits of clients", "memory", sizes.Memory, "requests", sizes.Pool, "connections", sizes.Conns)
+	return pool
+}
+
 // applyPolicy passes an entry's policy to the pullers and reconcilers.
 func (side *Side) applyPolicy(policy calls.Policy) {
 	for _, puller := range side.pullers {
@@ -144,13 +169,16 @@
 			for _, reconciler := range side.reconcilers {
 				side.tree.Start("orders", reconciler)
 			}
-			side.tree.Start("metrics", super.HTTP("metrics", side.http, side.metricsListener))
-			klog.InfoS("side serves", "peer", side.Node.Address(), "metrics", side.metricsListener.Addr().String())
+			side.tree.Start("intake", super.Func("intake", side.intake.Trim), super.Func("sockets", side.intake.Watch))
+			side.tree.Start("metrics", side.metrics)
+			klog.InfoS("side serves", "peer", side.Node.Address(), "metrics", side.metrics.Addr().String())
 			return nil
 		},
 		OnStop: func(context.Context) error {
 			side.drain()
-			_ = side.http.Close()
+			ctx, cancel := context.WithTimeout(context.Background(), metricsStopTime)
+			defer cancel()
+			side.metrics.Stop(ctx)
 			side.tree.Stop()
 			return side.Node.Close()
 		},
