platform, gate/batch, base/intake: bodies of items that callers read slowly are counted and bounded

In platform/crowd, 1,920 clients that read only the beginning of a body took 184 MB and 33 MB in sockets of a gateway of 100 MB that doesn't own the jobs.

Causes: a body was held until its reader had it and wasn't counted, nor what the kernel keeps of it; each read at a gateway that has the job neither as its owner nor in its cache read the job's whole input from the store, for itself alone.

Change: a body counts in the pool as pages of results do, both with what the kernel keeps of them, until they have been received. As a request that has run is never dropped, slow readers would then keep larger requests out for as long as they like: a response that has only to be written may be dropped after 10 s, if memory is lacking; reads can be repeated. Inputs are read once for all that ask at a time, within the bytes of the cache.

--- a/internal/base/inlet/body.go
+++ b/internal/base/inlet/body.go
@@ -14,6 +14,9 @@
 const (
 	// firstBodyBytes is the size of the first buffer of a body.
 	firstBodyBytes = 16 << 10
+	// measuredBytes is the size of a kept answer from which on it is measured what the kernel
+	// still keeps of it once it has been written.
+	measuredBytes = 16 << 10
 	// unreadTime is how long a body may take of which a handler sets no limit itself, or which
 	// none reads: http.Server reads on before it sends the answer.
 	unreadTime = 30 * time.Second
@@ -177,3 +180,21 @@
 	}
 	return nil
 }
+
+// KeepAnswer does as Keep for an answer that only has to be written, and counts what the kernel keeps of
+// it, too. The connection may be reset if its reader takes long while memory is lacking, so that
+// the request must be one that the caller can repeat.
+func KeepAnswer(ctx context.Context, bytes int64) error {
+	conn, ok := ctx.Value(connKey{}).(*conn)
+	if !ok || conn.hold == nil || bytes <= 0 {
+		return nil
+	}
+	inKernel := min(bytes, conn.server.pool.Sizes().MostSent())
+	if err := conn.hold.Grow(ctx, bytes+inKernel); err != nil {
+		return err
+	}
+	conn.answering.Store(true)
+	conn.measured = inKernel >= measuredBytes
+	conn.hold.Answer()
+	return nil
+}
--- a/internal/base/inlet/limits.go
+++ b/internal/base/inlet/limits.go
@@ -68,6 +68,10 @@
 	// headCost is what was read of a head and isn't counted in the pool yet.
 	headCost int64
 	dropped  atomic.Bool
+	// answering is true while an answer is written that may be dropped.
+	answering atomic.Bool
+	// measured is true if the kernel may still keep much of it afterwards.
+	measured bool
 	// refused is true once a request was refused of which more may arrive.
 	refused atomic.Bool
 	// wide is true while the connection has the wide receive buffer.
@@ -121,8 +125,15 @@
 func (conn *conn) nextHold() {
 	conn.headBytes, conn.headCost = 0, 0
 	conn.unreadBefore, conn.stalledAt = 0, time.Time{}
-	if conn.hold != nil {
-		conn.narrow()
+	conn.answering.Store(false)
+	if conn.hold == nil {
+		return
+	}
+	conn.narrow()
+	if conn.measured {
+		conn.measured = false
+		conn.hold.NextWithSockets()
+	} else {
 		conn.hold.Next()
 	}
 }
--- a/internal/base/inlet/sockets_test.go
+++ b/internal/base/inlet/sockets_test.go
@@ -25,7 +25,7 @@
 )
 
 // newLimited starts a server whose sockets are limited, with the pool's memory.
-func newLimited(memory int64, handler http.HandlerFunc, options ...inlet.Option) (*inlet.Server, string) {
+func newLimited(memory int64, handler http.HandlerFunc, options ...inlet.Option) (*inlet.Server, *intake.Pool, string) {
 	ginkgo.GinkgoHelper()
 	listener, err := net.ListenTCP("tcp4", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
 	gomega.Expect(err).NotTo(gomega.HaveOccurred())
@@ -38,7 +38,7 @@
 		cancel()
 		server.Stop(ended)
 	})
-	return server, listener.Addr().String()
+	return server, pool, listener.Addr().String()
 }
 
 // sendUntilStuck sends until nothing more is taken, and returns how much was.
@@ -71,7 +71,7 @@
 	block := func(writer http.ResponseWriter, request *http.Request) { <-request.Context().Done() }
 
 	ginkgo.It("keep little of a body that isn't read", func() {
-		_, address := newLimited(64<<20, block)
+		_, _, address := newLimited(64<<20, block)
 		conn := dialCounted(address)
 		// The sender's own buffer takes the rest.
 		gomega.Expect(conn.Conn.(*net.TCPConn).SetWriteBuffer(socketSize)).To(gomega.Succeed())
@@ -81,7 +81,7 @@
 	})
 	ginkgo.It("don't keep a large body from being read", func() {
 		const size = 8 << 20
-		_, address := newLimited(64<<20, func(writer http.ResponseWriter, request *http.Request) {
+		_, _, address := newLimited(64<<20, func(writer http.ResponseWriter, request *http.Request) {
 			body, err := inlet.ReadBody(writer, request, size)
 			if err != nil || len(body) != size {
 				writer.WriteHeader(http.StatusBadRequest)
@@ -98,7 +98,7 @@
 	})
 	ginkgo.It("of a response that nobody reads end with the idle connection", func() {
 		const timeout = 200 * time.Millisecond
-		server, address := newLimited(64<<20, func(writer http.ResponseWriter, _ *http.Request) { _, _ = writer.Write(make([]byte, 60<<10)) }, inlet.WithWriteTimeout(timeout))
+		server, _, address := newLimited(64<<20, func(writer http.ResponseWriter, _ *http.Request) { _, _ = writer.Write(make([]byte, 60<<10)) }, inlet.WithWriteTimeout(timeout))
 		server.SetIdleLimit(time.Millisecond)
 		conn, err := net.Dial("tcp4", address)
 		gomega.Expect(err).NotTo(gomega.HaveOccurred())
@@ -114,3 +114,30 @@
 		gomega.Expect(err).To(gomega.MatchError(syscall.ECONNRESET))
 	})
 })
+
+var _ = ginkgo.Describe("an answer that is kept", func() {
+	ginkgo.It("is counted with what the kernel keeps of it, and given back when it has been read", func() {
+		const size = 40 << 10
+		var pool *intake.Pool
+		used := make(chan int64, 1)
+		var address string
+		_, pool, address = newLimited(64<<20, func(writer http.ResponseWriter, request *http.Request) {
+			if inlet.KeepAnswer(request.Context(), size) == nil {
+				used <- pool.Used()
+			}
+			_, _ = writer.Write(make([]byte, size))
+		})
+		ctx, cancel := context.WithCancel(context.Background())
+		ginkgo.DeferCleanup(cancel)
+		go func() { _ = pool.Watch(ctx) }()
+		conn := dialCounted(address)
+		_, err := io.WriteString(conn, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		gomega.Eventually(used, "10s").Should(gomega.Receive(gomega.BeNumerically(">=", 2*size)))
+		response, err := http.ReadResponse(conn.reader, nil)
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		_, err = io.Copy(io.Discard, response.Body)
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		gomega.Eventually(pool.Used, "10s").Should(gomega.BeEquivalentTo(intake.ConnBytes))
+	})
+})
--- a/internal/base/inlet/write.go
+++ b/internal/base/inlet/write.go
@@ -36,6 +36,9 @@
 	conn.unsent.Store(true)
 	before, stalled := math.MaxInt, 0
 	for {
+		if conn.answering.Load() && conn.dropped.Load() {
+			return n, errDropped
+		}
 		// An error means that the connection is closed, which the write reports, too.
 		_ = conn.SetWriteDeadline(time.Now().Add(conn.server.writeTimeout / writeChecks))
 		var written int
--- a/internal/base/intake/pool.go
+++ b/internal/base/intake/pool.go
@@ -85,6 +85,13 @@
 // Sizes returns the sizes that the pool was created with.
 func (pool *Pool) Sizes() Sizes { return pool.sizes }
 
+// Used returns how many bytes of the pool are in use.
+func (pool *Pool) Used() int64 {
+	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
+	return pool.used
+}
+
 // Hold is the part of a pool that a connection and its current request have.
 type Hold struct {
 	pool    *Pool
@@ -98,9 +105,10 @@
 	wide    bool
 	// since is when the request, or the wait for one, began.
 	since time.Time
-	// finished is true while a request that has arrived whole may run.
-	finished bool
-	dropped  bool
+	// finished is true while a request that has arrived whole may run, and answering once it has
+	// run and only its response is written.
+	finished, answering bool
+	dropped             bool
 	// ending is true if another connection has its place already.
 	ending bool
 	ended  bool
@@ -212,6 +220,14 @@
 	return hold.finished
 }
 
+// Answer notes that the request has run, and that nothing is left to do but to write its response,
+// which may be dropped if its reader takes long.
+func (hold *Hold) Answer() {
+	hold.pool.mutex.Lock()
+	defer hold.pool.mutex.Unlock()
+	hold.answering, hold.since = true, hold.pool.clock.Now()
+}
+
 // Dropped reports whether the pool has dropped the request.
 func (hold *Hold) Dropped() bool {
 	hold.pool.mutex.Lock()
@@ -223,9 +239,14 @@
 func (hold *Hold) Next() {
 	hold.pool.mutex.Lock()
 	defer hold.pool.mutex.Unlock()
+	hold.next()
+}
+
+// next is Next; the mutex must be held.
+func (hold *Hold) next() {
 	hold.pool.add(hold, min(0, ConnBytes-hold.bytes))
 	hold.pool.narrow(hold)
-	hold.finished, hold.since = false, hold.pool.clock.Now()
+	hold.finished, hold.answering, hold.since = false, false, hold.pool.clock.Now()
 }
 
 // Close gives back all bytes of the hold. It is called once the connection is closed.
--- a/internal/base/intake/sockets.go
+++ b/internal/base/intake/sockets.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 	"net/netip"
 	"os"
 	"runtime/debug"
@@ -33,6 +32,9 @@
 func (sizes Sizes) SendBuffer() int        { return sizes.Socket * sendFactor }
 func (sizes Sizes) WideReceiveBuffer() int { return sizes.Socket * wideFactor }
 
+// MostSent returns how much of a response the kernel may keep.
+func (sizes Sizes) MostSent() int64 { return int64(kernelFactor * sizes.SendBuffer()) }
+
 // mostInSockets returns how much the kernel may keep for a connection.
 func (sizes Sizes) mostInSockets(wide bool) int64 {
 	receive := sizes.ReceiveBuffer()
@@ -50,6 +52,17 @@
 	hold.measure = measure
 }
 
+// NextWithSockets does as Next, and counts what the kernel still keeps of the response.
+func (hold *Hold) NextWithSockets() {
+	bytes := hold.measure()
+	pool := hold.pool
+	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
+	hold.next()
+	pool.addSockets(hold, bytes-hold.sockets)
+	pool.checkCrowded()
+}
+
 // Widen reports whether the connection may have the wide receive buffer, until Next. A pool of which
 // much is in use has none to give.
 func (hold *Hold) Widen() bool {
@@ -73,10 +86,9 @@
 	}
 }
 
-// checkCrowded wakes Watch if the kernel could keep as much for the connections as the pool has;
-// the mutex must be held.
+// checkCrowded wakes Watch if it is to measure connections; the mutex must be held.
 func (pool *Pool) checkCrowded() {
-	if pool.crowded() {
+	if pool.crowded() || pool.sockets > 0 {
 		select {
 		case pool.watched <- struct{}{}:
 		default:
@@ -90,8 +102,9 @@
 	return pool.sizes.Pool > 0 && int64(len(pool.holds))*usual+int64(pool.wide)*(wide-usual) > pool.sizes.Pool
 }
 
-// Watch counts what the kernel keeps for the connections in the pool, while there are so many that
-// this may matter, until ctx ends. It drops connections if the pool is exceeded by it.
+// Watch counts what the kernel keeps for the connections in the pool, until ctx ends: for all while
+// there are so many that this may matter, else for those for which something is counted. It drops connections
+// if the pool is exceeded by it.
 func (pool *Pool) Watch(ctx context.Context) error {
 	for {
 		select {
@@ -99,27 +112,27 @@
 			return ctx.Err()
 		case <-pool.watched:
 		}
-		for crowded := true; crowded && ctx.Err() == nil; {
-			crowded = pool.measure()
+		for again := true; again && ctx.Err() == nil; {
+			again = pool.measure()
 			ticks.Wait(ctx, pool.clock, socketPeriod)
 		}
 	}
 }
 
-// measure counts what the kernel keeps for each connection, or nothing for any if there are few. It
-// returns whether there are many.
-func (pool *Pool) measure() (crowded bool) {
+// measure counts what the kernel keeps for connections. It returns whether it is to be called again.
+func (pool *Pool) measure() (again bool) {
 	pool.mutex.Lock()
-	crowded = pool.crowded()
-	holds := slices.Collect(maps.Keys(pool.holds))
+	crowded := pool.crowded()
+	var holds []*Hold
+	for hold := range pool.holds {
+		if hold.measure != nil && (crowded || hold.sockets > 0) {
+			holds = append(holds, hold)
+		}
+	}
 	pool.mutex.Unlock()
 	measured := make([]int64, len(holds))
-	if crowded {
-		for i, hold := range holds {
-			if hold.measure != nil {
-				measured[i] = hold.measure()
-			}
-		}
+	for i, hold := range holds {
+		measured[i] = hold.measure()
 	}
 	pool.mutex.Lock()
 	for i, hold := range holds {
@@ -130,7 +143,7 @@
 	pool.mutex.Unlock()
 	pool.dropAll(victims, "sockets")
 	pool.limitCollector(sockets)
-	return crowded
+	return crowded || sockets > 0
 }
 
 // addSockets changes what the kernel keeps for a connection; the mutex must be held.
@@ -181,7 +194,7 @@
 	now := pool.clock.Now()
 	costs := make(map[*Hold]float64)
 	for hold := range pool.holds {
-		if !hold.finished && !hold.dropped && (!much || hold.address == heavy) {
+		if hold.droppable(now) && (!much || hold.address == heavy) {
 			holds = append(holds, hold)
 			costs[hold] = hold.cost(now)
 		}
--- a/internal/base/intake/sockets_test.go
+++ b/internal/base/intake/sockets_test.go
@@ -101,3 +101,33 @@
 	}
 	fixture.Expect(open).To(gomega.BeNumerically("<=", maxConns+maxConns/endingPart))
 }
+
+// Guards against slow readers that keep the memory from all larger requests.
+func TestResponseIsDroppedOnceItsReaderTakesLong(t *testing.T) {
+	fixture := newFixture(t)
+	for i := range 3 {
+		reader := fixture.openWith(fmt.Sprint(i), crowdAddress, 1<<20)
+		reader.Finish()
+		reader.Answer()
+	}
+	upload := fixture.open("upload", callerAddress)
+	fixture.expectShort(upload, 1<<19)
+	fixture.Expect(fixture.dropped).To(gomega.BeEmpty())
+	fixture.clock.Step(answerTime)
+	fixture.expectGrows(upload, 1<<19)
+	fixture.Expect(fixture.dropped).To(gomega.Equal([]string{"0"}))
+}
+
+func TestWhatTheKernelKeepsOfAResponseIsCountedUntilItIsReceived(t *testing.T) {
+	fixture := newCrowded(t)
+	unsent := int64(60 << 10)
+	reader := fixture.openWith("reader", callerAddress, 200<<10)
+	reader.SetSockets(func() int64 { return unsent })
+	reader.Finish()
+	reader.NextWithSockets()
+	fixture.Expect(fixture.used).To(gomega.BeEquivalentTo(ConnBytes + 60<<10))
+	fixture.Expect(fixture.measure()).To(gomega.BeTrue())
+	unsent = 0
+	fixture.Expect(fixture.measure()).To(gomega.BeFalse())
+	fixture.Expect(fixture.used).To(gomega.BeEquivalentTo(ConnBytes))
+}
--- a/internal/gate/batch/access.go
+++ b/internal/gate/batch/access.go
@@ -119,16 +119,9 @@
 	if items != nil {
 		return items, nil
 	}
-	items, err := manager.jobStore.items(ctx, head.Head, manager.clock.Now())
-	if err != nil {
-		return nil, err
-	}
-	manager.mutex.Lock()
-	defer manager.mutex.Unlock()
-	if manager.mayCache(head.Head) {
-		manager.snapshots.setItems(head.ID, items)
-	}
-	return items, nil
+	return manager.reads.input(ctx, head.ID, func(ctx context.Context) ([]Item, error) {
+		return manager.readInput(ctx, head)
+	})
 }
 
 // End cancels a job: no further items are started. It also returns nil if the
--- a/internal/gate/batch/inputs.go
+++ b/internal/gate/batch/inputs.go
@@ -32,6 +32,7 @@
 func WithMemory(inputs, cache int64) Option {
 	return func(manager *Manager) {
 		manager.inputs.limit = int(inputs)
+		manager.reads.limit(cache)
 		if cache > 0 {
 			manager.snapshots.maxBytes = int(min(cache, maxSnapshotBytes))
 		}
--- a/internal/gate/batch/manager.go
+++ b/internal/gate/batch/manager.go
@@ -98,6 +98,7 @@
 	unfenced  map[string]bool
 	snapshots *snapshotCache
 	inputs    openInputs
+	reads     inputReads
 	draining  bool
 	// changed is closed when any head changes.
 	changed chan struct{}
