--- a/internal/base/setup/limits.go
+++ b/internal/base/setup/limits.go
@@ -16,6 +16,9 @@
 	// SocketBytes is the size of the receive buffer that the kernel is given for each connection of
 	// a client; zero means 16 KB. The send buffer is given four times as much.
 	SocketBytes int
+	// ResultsWait limits how long a read of a job's results may wait for one, whatever its caller
+	// asks for; zero means five seconds. It applies to gateways.
+	ResultsWait Duration
 }
 
 // limits checks what the host gives to the process.
@@ -26,6 +29,9 @@
 	if limits.MaxFDs < 0 {
 		checker.fault("Limits.MaxFDs", "is negative")
 	}
+	if limits.ResultsWait.Duration < 0 {
+		checker.fault("Limits.ResultsWait", "is negative")
+	}
 	if limits.SocketBytes != 0 && (limits.SocketBytes < minSocketBytes || limits.SocketBytes > maxSocketBytes) {
 		checker.fault("Limits.SocketBytes", "%d is not between %d and %d bytes", limits.SocketBytes, minSocketBytes, maxSocketBytes)
 	}
--- a/internal/base/setup/limits_test.go
+++ b/internal/base/setup/limits_test.go
@@ -21,10 +21,10 @@
 
 func TestNegativeLimitsAreFaults(t *testing.T) {
 	expect := gomega.NewWithT(t)
-	_, err := Parse("side.toml", []byte(sideSettings+"[Limits]\nMemoryMB = -1\nMaxFDs = -1\n"), agatestage.RoleSide)
+	_, err := Parse("side.toml", []byte(sideSettings+"[Limits]\nMemoryMB = -1\nMaxFDs = -1\nResultsWait = \"-1s\"\n"), agatestage.RoleSide)
 	var faults Faults
 	expect.Expect(errors.As(err, &faults)).To(gomega.BeTrue())
-	expect.Expect(faults).To(gomega.HaveLen(2), faults.Error())
+	expect.Expect(faults).To(gomega.HaveLen(3), faults.Error())
 }
 
 func TestSocketBytesOutOfRangeAreAFault(t *testing.T) {
--- a/internal/gate/batch/manager.go
+++ b/internal/gate/batch/manager.go
@@ -99,7 +99,9 @@
 	snapshots *snapshotCache
 	inputs    openInputs
 	reads     inputReads
-	draining  bool
+	// resultsWait limits the wait for a result; zero means the default.
+	resultsWait time.Duration
+	draining    bool
 	// changed is closed when any head changes.
 	changed chan struct{}
 	// headsConfirmedAt is when the store last confirmed the heads.
--- a/internal/gate/batch/reads_test.go
+++ b/internal/gate/batch/reads_test.go
@@ -61,3 +61,17 @@
 	_, err = manager.admitRead(t.Context(), 1)
 	expect.Expect(err).NotTo(gomega.HaveOccurred())
 }
+
+func TestWaitForResultsIsLimited(t *testing.T) {
+	for _, limit := range []time.Duration{0, 2 * time.Second} {
+		manager := &Manager{}
+		WithResultsWait(limit)(manager)
+		want := limit
+		if limit == 0 {
+			want = defaultResultsWait
+		}
+		expect := gomega.NewWithT(t)
+		expect.Expect(manager.limitWait(time.Hour)).To(gomega.Equal(want))
+		expect.Expect(manager.limitWait(time.Second)).To(gomega.Equal(time.Second))
+	}
+}
--- a/internal/gate/batch/results.go
+++ b/internal/gate/batch/results.go
@@ -1,9 +1,11 @@
 package batch
 
 import (
+	"cmp"
 	"context"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"k8s.io/klog/v2"
 
 	"github.com/agatestage/agatestage"
@@ -67,10 +69,28 @@
 	Results []Result
 }
 
+// defaultResultsWait limits the wait for a result. Callers that want to wait longer ask again.
+const defaultResultsWait = 5 * time.Second
+
+// WithResultsWait limits how long Results waits; zero means five seconds.
+func WithResultsWait(limit time.Duration) Option {
+	return func(manager *Manager) { manager.resultsWait = limit }
+}
+
+// limitWait returns how long a read of results may wait.
+func (manager *Manager) limitWait(wait time.Duration) time.Duration {
+	limit := cmp.Or(manager.resultsWait, defaultResultsWait)
+	if wait <= limit {
+		return wait
+	}
+	metrics.GetOrCreateCounter("agatestage_batch_waits_limited_total").Inc()
+	return limit
+}
+
 // Results returns the results from an offset on. If there are none yet, it waits
-// for some, at most for the given time and until left is closed.
+// for some, at most for the given time, the configured limit and until left is closed.
 func (manager *Manager) Results(ctx context.Context, organisation, id string, offset int, wait time.Duration, left <-chan struct{}) (Page, error) {
-	deadline := manager.clock.Now().Add(wait)
+	deadline := manager.clock.Now().Add(manager.limitWait(wait))
 	for {
 		page, changed, err := manager.page(ctx, organisation, id, offset)
 		remaining := deadline.Sub(manager.clock.Now())
--- a/internal/gate/start/wire.go
+++ b/internal/gate/start/wire.go
@@ -139,7 +139,8 @@
 func newJobs(settings setup.Settings, instance instance, store agatestage.Transactor, clock agatestage.Clock, relay *relay.Relay, holder *rules.Holder, clusterView *clusterView, storeHealth *feeds.StoreHealth, duty *feeds.Duty, node *link.Node, mesh *gossip.Mesh, sizes intake.Sizes) *batch.Manager {
 	self := batch.Gateway{Name: settings.Name, Instance: string(instance), Region: settings.Region}
 	jobs := batch.New(self, store, clock, relay, holder, clusterView, serve.Fingerprint,
-		batch.WithStoreHealth(storeHealth), batch.WithDuty(duty), batch.WithPeers(&peerClient{node: node, mesh: mesh}), batch.WithMemory(sizes.Inputs, sizes.Cache))
+		batch.WithStoreHealth(storeHealth), batch.WithDuty(duty), batch.WithPeers(&peerClient{node: node, mesh: mesh}), batch.WithMemory(sizes.Inputs, sizes.Cache),
+		batch.WithResultsWait(settings.Limits.ResultsWait.Duration))
 	clusterView.jobs = jobs
 	node.Handle(kindJob, serveJob(jobs))
 	node.Handle(kindSubmit, serveSubmit(jobs))
