base/inlet, base/intake: wide receive buffers and connections that wait to be accepted are bounded together

Cause, read: a wide receive buffer was given while half of the pool was free, whatever the wide ones before it might still take: 256 KB each for uploads that then wait for memory. Besides, up to 4,096 connections that the process hasn't accepted yet may send what their buffers hold.

Change: all wide buffers, if full, fit into the free half of the pool; the queue of new connections is a quarter of the connections. A dropped connection that was answered less than a second ago is closed and not reset, unless much of its response is unread.

Evidence: TestOnlyAFreePoolGivesWideBuffers fails without the first bound.

--- a/internal/base/inlet/limits.go
+++ b/internal/base/inlet/limits.go
@@ -28,6 +28,8 @@
 	// caller can read the refusal, and maxLingering how many of them do.
 	lingerTime   = 500 * time.Millisecond
 	maxLingering = 64
+	// arrivalTime is how long the end of a response may take to reach its caller.
+	arrivalTime = time.Second
 	// refusalRetryAfter is the Retry-After of a refusal for memory, in seconds.
 	refusalRetryAfter = 1
 )
@@ -103,14 +105,19 @@
 	conn.keepDropped()
 	conn.mutex.Lock()
 	quiet := conn.phase == idle || conn.phase == fresh
+	idleFor := conn.server.clock.Since(conn.since)
 	if quiet {
 		conn.phase = closed
 	}
 	conn.mutex.Unlock()
-	if quiet {
+	if !quiet {
+		return
+	}
+	// The end of a usual response is still on its way to a caller that was just answered.
+	if idleFor >= arrivalTime || conn.unread() > conn.server.pool.Sizes().ReceiveBuffer() {
 		conn.resetUnread()
-		_ = conn.TCPConn.Close()
 	}
+	_ = conn.TCPConn.Close()
 }
 
 // keepDropped ends the wait of a reader whose connection was dropped, whatever deadline has
--- a/internal/base/inlet/sockets.go
+++ b/internal/base/inlet/sockets.go
@@ -7,6 +7,10 @@
 	"k8s.io/klog/v2"
 )
 
+// waitingPart is the part of the connections that may wait to be accepted, and leastWaiting the
+// least number of them. The kernel keeps what they send while the process stands still.
+const waitingPart, leastWaiting = 4, 64
+
 // wideBody is the size of a body's buffer from which on its connection may have the wide receive
 // buffer. A round trip for each usual one would delay uploads over long distances.
 const wideBody = 64 << 10
@@ -25,6 +29,9 @@
 			if err = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, sizes.ReceiveBuffer()); err == nil {
 				err = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_SNDBUF, sizes.SendBuffer())
 			}
+			if err == nil && sizes.Conns > 0 {
+				err = unix.Listen(int(fd), max(leastWaiting, sizes.Conns/waitingPart))
+			}
 		})
 		if controlErr != nil {
 			err = controlErr
--- a/internal/base/intake/sockets.go
+++ b/internal/base/intake/sockets.go
@@ -63,13 +63,16 @@
 	pool.checkCrowded()
 }
 
-// Widen reports whether the connection may have the wide receive buffer, until Next. A pool of which
-// much is in use has none to give.
+// Widen reports whether the connection may have the wide receive buffer, until Next. All wide ones
+// together, if they are full, fit into the half of the pool that is free.
 func (hold *Hold) Widen() bool {
 	pool := hold.pool
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
-	if hold.wide || hold.ended || pool.sizes.Pool <= 0 || pool.sizes.Socket <= 0 || pool.used > pool.sizes.Pool/2 {
+	if hold.wide || hold.ended || pool.sizes.Socket <= 0 {
+		return false
+	}
+	if wide := int64(pool.wide+1) * pool.sizes.mostInSockets(true); pool.used+wide > pool.sizes.Pool/2 {
 		return false
 	}
 	hold.wide = true
--- a/internal/base/intake/sockets_test.go
+++ b/internal/base/intake/sockets_test.go
@@ -83,10 +83,12 @@
 	fixture := newCrowded(t)
 	upload := fixture.open("upload", callerAddress)
 	fixture.Expect([]bool{upload.Widen(), upload.Widen()}).To(gomega.Equal([]bool{true, false}))
+	// Each may keep three quarters of a megabyte, of two.
+	fixture.Expect([]bool{fixture.open("second", callerAddress).Widen(), fixture.open("third", callerAddress).Widen()}).To(gomega.Equal([]bool{true, false}))
 	upload.Next()
+	fixture.Expect(fixture.wide).To(gomega.Equal(1))
 	fixture.openWith("large", crowdAddress, 3<<20)
 	fixture.Expect(upload.Widen()).To(gomega.BeFalse())
-	fixture.Expect(fixture.wide).To(gomega.BeZero())
 }
 
 // Guards against descriptors that a crowd of unfinished requests has beside the bound, as dropped
