--- a/internal/base/inlet/body.go
+++ b/internal/base/inlet/body.go
@@ -14,8 +14,8 @@
 const (
 	// firstBodyBytes is the size of the first buffer of a body.
 	firstBodyBytes = 16 << 10
-	// measuredBytes is the size of a kept answer from which on it is measured what the kernel
-	// still keeps of it once it has been written.
+	// measuredBytes is the least size of a kept answer for which the kernel's part is still counted
+	// once the answer has been written.
 	measuredBytes = 16 << 10
 	// unreadTime is how long a body may take of which a handler sets no limit itself, or which
 	// none reads: http.Server reads on before it sends the answer.
--- a/internal/base/inlet/limits.go
+++ b/internal/base/inlet/limits.go
@@ -72,7 +72,7 @@
 	dropped  atomic.Bool
 	// answering is true while an answer is written that may be dropped.
 	answering atomic.Bool
-	// measured is true if the kernel may still keep much of it afterwards.
+	// measured is true if what the kernel keeps of it is to be counted afterwards.
 	measured bool
 	// refused is true once a request was refused of which more may arrive.
 	refused atomic.Bool
--- a/internal/base/intake/pool.go
+++ b/internal/base/intake/pool.go
@@ -65,10 +65,9 @@
 	// receive buffer.
 	sockets int64
 	wide    int
-	// ending is the number of dropped connections that are still to be closed, and that another one
-	// has the place of.
+	// ending is the number of dropped connections that aren't closed yet and no longer count in holds.
 	ending int
-	// watched has an element when the connections have become many.
+	// watched has an element when Watch is to measure connections.
 	watched chan struct{}
 	// limited is what the collector's limit leaves to the kernel. Only Watch uses it.
 	limited int64
@@ -146,7 +145,7 @@
 		pool.holds[hold] = struct{}{}
 		pool.addUsage(address, usage{conns: 1})
 		pool.add(hold, ConnBytes)
-		pool.checkCrowded()
+		pool.wakeWatch()
 	}
 	pool.mutex.Unlock()
 	pool.dropAll(victims, "connections")
--- a/internal/base/intake/sockets.go
+++ b/internal/base/intake/sockets.go
@@ -20,7 +20,7 @@
 	// kernelFactor is how much the kernel keeps at most, as a multiple of the size that a buffer
 	// is given (socket(7)).
 	kernelFactor = 2
-	// socketPeriod is how often the connections are measured while there are many.
+	// socketPeriod is how often connections are measured, as long as any are to be.
 	socketPeriod = 250 * time.Millisecond
 	// limitSteps is the least change of the collector's limit, as a part of the memory.
 	limitSteps = 64
@@ -60,7 +60,7 @@
 	defer pool.mutex.Unlock()
 	hold.next()
 	pool.addSockets(hold, bytes-hold.sockets)
-	pool.checkCrowded()
+	pool.wakeWatch()
 }
 
 // Widen reports whether the connection may have the wide receive buffer, until Next. All wide ones
@@ -77,7 +77,7 @@
 	}
 	hold.wide = true
 	pool.wide++
-	pool.checkCrowded()
+	pool.wakeWatch()
 	return true
 }
 
@@ -89,8 +89,8 @@
 	}
 }
 
-// checkCrowded wakes Watch if it is to measure connections; the mutex must be held.
-func (pool *Pool) checkCrowded() {
+// wakeWatch wakes Watch if it is to measure connections; the mutex must be held.
+func (pool *Pool) wakeWatch() {
 	if pool.crowded() || pool.sockets > 0 {
 		select {
 		case pool.watched <- struct{}{}:
